--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+# Entry points; the build itself is CMake's.
+PACKAGES = cmake ninja-build pkg-config libcivetweb-dev libnng-dev libpopt-dev libjson-c-dev \
+	libmsgpack-dev libsodium-dev libcriterion-dev
+SOURCES = $(shell git ls-files '*.c' '*.h')
+JOBS ?= 8
+
+.PHONY: all packages build build-asan build-tsan check unit scripts demo soak bench format lint clean
+
+all: build
+
+# Installs the declared Debian packages only where one is missing.
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+		{ apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES); }
+
+build: packages
+	@cmake -S . -B build -G Ninja >/dev/null && ninja -C build -j $(JOBS)
+
+build-asan: packages
+	@cmake -S . -B build-asan -G Ninja -DBR_SANITIZE=address >/dev/null && ninja -C build-asan -j $(JOBS)
+
+build-tsan: packages
+	@cmake -S . -B build-tsan -G Ninja -DBR_SANITIZE=thread >/dev/null && ninja -C build-tsan -j $(JOBS)
+
+# Unit and randomised tests with a fixed set of seeds, under AddressSanitizer and UBSan.
+unit: build-asan
+	@tests/run-unit.sh build-asan
+
+# Real processes; the programs are the ThreadSanitizer build.
+scripts: build build-tsan
+	@tests/run-scripts.sh build build-tsan
+
+check: unit scripts
+
+demo: build
+	@tests/demo.sh build
+
+DURATION_S ?= 60
+SEED ?= 1
+soak: build-asan
+	@tests/soak.sh build-asan $(DURATION_S) $(SEED)
+
+bench: build
+	@tests/bench.sh build
+
+format:
+	@clang-format -i $(SOURCES)
+
+lint: build
+	@clang-format --dry-run --Werror $(SOURCES)
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 4 clang-tidy -p build --quiet
+
+clean:
+	@rm -rf build build-asan build-tsan out
--- /dev/null
+++ b/common/http_client.c
@@ -0,0 +1,415 @@
+#include "common/http_client.h"
+
+#include "briarreel/error.h"
+#include "common/clock.h"
+
+#include <arpa/inet.h>
+#include <civetweb.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define PEER_BUCKETS 1024
+#define HEAD_BYTES 16384
+#define READ_CHUNK_BYTES 65536
+
+struct idle_conn {
+	struct mg_connection *conn;
+	uint64_t idle_since_us;
+	struct idle_conn *next;
+};
+
+struct peer {
+	char address[BR_NODE_ID_BYTES];
+	/** Last time a response came; a peer silent for longer is probed before CivetWeb connects. */
+	uint64_t answered_us;
+	uint32_t n_idle;
+	struct idle_conn *idle;
+	struct peer *next;
+};
+
+struct http_pool {
+	struct http_pool_config cfg;
+	pthread_mutex_t lock;
+	struct peer *peers[PEER_BUCKETS];
+};
+
+struct http_pool *http_pool_create(const struct http_pool_config *cfg)
+{
+	struct http_pool *pool = calloc(1, sizeof(*pool));
+
+	if (!pool)
+		return NULL;
+	pool->cfg = *cfg;
+	pthread_mutex_init(&pool->lock, NULL);
+	return pool;
+}
+
+void http_pool_destroy(struct http_pool *pool)
+{
+	if (!pool)
+		return;
+	for (size_t i = 0; i < PEER_BUCKETS; i++) {
+		while (pool->peers[i]) {
+			struct peer *p = pool->peers[i];
+
+			pool->peers[i] = p->next;
+			while (p->idle) {
+				struct idle_conn *c = p->idle;
+
+				p->idle = c->next;
+				mg_close_connection(c->conn);
+				free(c);
+			}
+			free(p);
+		}
+	}
+	pthread_mutex_destroy(&pool->lock);
+	free(pool);
+}
+
+static struct peer *find_peer(struct http_pool *pool, const char *address)
+{
+	size_t i = br_hash_str(address, 0) % PEER_BUCKETS;
+	struct peer *p;
+
+	for (p = pool->peers[i]; p; p = p->next)
+		if (!strcmp(p->address, address))
+			return p;
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		return NULL;
+	br_copy_text(p->address, sizeof(p->address), address);
+	p->next = pool->peers[i];
+	pool->peers[i] = p;
+	return p;
+}
+
+static struct mg_connection *take_idle(struct http_pool *pool, const char *address,
+				       bool *recently_answered)
+{
+	uint64_t now_us = clock_now_us();
+	uint64_t max_idle_us = (uint64_t)pool->cfg.max_idle_ms * BR_US_PER_MS;
+	struct idle_conn *expired = NULL;
+	struct mg_connection *conn = NULL;
+	struct peer *p;
+
+	pthread_mutex_lock(&pool->lock);
+	p = find_peer(pool, address);
+	*recently_answered = p && p->answered_us && now_us - p->answered_us < BR_US_PER_S;
+	while (p && p->idle && !conn) {
+		struct idle_conn *c = p->idle;
+
+		p->idle = c->next;
+		p->n_idle--;
+		if (now_us - c->idle_since_us < max_idle_us) {
+			conn = c->conn;
+			free(c);
+		} else {
+			c->next = expired;
+			expired = c;
+		}
+	}
+	pthread_mutex_unlock(&pool->lock);
+	while (expired) {
+		struct idle_conn *c = expired;
+
+		expired = c->next;
+		mg_close_connection(c->conn);
+		free(c);
+	}
+	return conn;
+}
+
+static void put_idle(struct http_pool *pool, const char *address, struct mg_connection *conn)
+{
+	struct idle_conn *c = malloc(sizeof(*c));
+	struct peer *p;
+
+	pthread_mutex_lock(&pool->lock);
+	p = find_peer(pool, address);
+	if (p)
+		p->answered_us = clock_now_us();
+	if (c && p && p->n_idle < pool->cfg.max_idle_per_peer) {
+		c->conn = conn;
+		c->idle_since_us = p->answered_us;
+		c->next = p->idle;
+		p->idle = c;
+		p->n_idle++;
+		c = NULL;
+		conn = NULL;
+	}
+	pthread_mutex_unlock(&pool->lock);
+	free(c);
+	if (conn)
+		mg_close_connection(conn);
+}
+
+static int split_address(const char *address, char *host, size_t host_bytes, int *port)
+{
+	const char *colon = strrchr(address, ':');
+	char *end;
+	long n;
+
+	if (!colon || (size_t)(colon - address) >= host_bytes)
+		return -EINVAL;
+	memcpy(host, address, (size_t)(colon - address));
+	host[colon - address] = '\0';
+	n = strtol(colon + 1, &end, 10);
+	if (*end || n <= 0 || n > 65535)
+		return -EINVAL;
+	*port = (int)n;
+	return 0;
+}
+
+/*
+ * CivetWeb waits ten seconds for a connection that gets no answer. A peer that has not answered
+ * lately is therefore tried first with a plain connect that obeys the pool's limit.
+ */
+static int probe_connect(const char *host, int port, uint32_t timeout_ms)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	struct pollfd pfd = {.events = POLLOUT};
+	socklen_t len = sizeof(int);
+	int so_error = 0;
+	int ret = 0;
+
+	if (inet_pton(AF_INET, host, &sa.sin_addr) != 1)
+		return -EINVAL;
+	pfd.fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (pfd.fd < 0)
+		return -errno;
+	if (connect(pfd.fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 && errno != EINPROGRESS)
+		ret = -errno;
+	else if (poll(&pfd, 1, (int)timeout_ms) != 1)
+		ret = -ETIMEDOUT;
+	else if (getsockopt(pfd.fd, SOL_SOCKET, SO_ERROR, &so_error, &len) < 0 || so_error)
+		ret = so_error ? -so_error : -EIO;
+	close(pfd.fd);
+	return ret;
+}
+
+static struct mg_connection *open_conn(struct http_pool *pool, const char *address, bool probe,
+				       struct br_error *err)
+{
+	char text[128] = "";
+	char host[BR_NODE_ID_BYTES];
+	struct mg_connection *conn;
+	int port;
+	int ret;
+
+	ret = split_address(address, host, sizeof(host), &port);
+	if (ret) {
+		br_error_set(err, ret, BR_STEP_CONNECT, address, "address is not ip:port");
+		return NULL;
+	}
+	if (probe) {
+		ret = probe_connect(host, port, pool->cfg.connect_timeout_ms);
+		if (ret) {
+			br_error_set(err, ret, BR_STEP_CONNECT, address, "cannot connect: %s",
+				     strerror(-ret));
+			return NULL;
+		}
+	}
+	conn = mg_connect_client(host, port, 0, text, sizeof(text));
+	if (!conn)
+		br_error_set(err, -ECONNREFUSED, BR_STEP_CONNECT, address, "cannot connect: %s",
+			     text);
+	return conn;
+}
+
+static int send_request(struct mg_connection *conn, const char *address,
+			const struct http_request *req)
+{
+	size_t cap = HEAD_BYTES + req->body_len;
+	char *buf = malloc(cap);
+	size_t len;
+	int n;
+	int ret = 0;
+
+	if (!buf)
+		return -ENOMEM;
+	n = snprintf(buf, HEAD_BYTES, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %zu\r\n",
+		     req->method, req->target, address, req->body_len);
+	len = (size_t)n;
+	for (size_t i = 0; i < req->n_headers && len < HEAD_BYTES; i++) {
+		n = snprintf(buf + len, HEAD_BYTES - len, "%s: %s\r\n", req->headers[i].name,
+			     req->headers[i].value);
+		len += (size_t)n;
+	}
+	if (len + 2 >= HEAD_BYTES) {
+		free(buf);
+		return -E2BIG;
+	}
+	memcpy(buf + len, "\r\n", 2);
+	len += 2;
+	if (req->body_len)
+		memcpy(buf + len, req->body, req->body_len);
+	len += req->body_len;
+	/* One write, so that the body does not wait for the acknowledgement of the headers. */
+	if (mg_write(conn, buf, len) != (int)len)
+		ret = -EPIPE;
+	free(buf);
+	return ret;
+}
+
+static int copy_headers(const struct mg_response_info *ri, struct http_response *resp)
+{
+	size_t bytes = 0;
+	char *p;
+
+	for (int i = 0; i < ri->num_headers; i++)
+		bytes += strlen(ri->http_headers[i].name) + strlen(ri->http_headers[i].value) + 2;
+	p = malloc(bytes + 1);
+	if (!p)
+		return -ENOMEM;
+	resp->header_text = p;
+	for (int i = 0; i < ri->num_headers && resp->n_headers < HTTP_MAX_HEADERS; i++) {
+		struct http_header *h = &resp->headers[resp->n_headers++];
+
+		h->name = p;
+		p = stpcpy(p, ri->http_headers[i].name) + 1;
+		h->value = p;
+		p = stpcpy(p, ri->http_headers[i].value) + 1;
+	}
+	return 0;
+}
+
+static int read_body(struct mg_connection *conn, long long content_length, bool chunked,
+		     size_t max_bytes, struct http_response *resp)
+{
+	size_t cap = chunked ? READ_CHUNK_BYTES : (size_t)content_length;
+
+	if (cap > max_bytes)
+		return -EMSGSIZE;
+	resp->body = malloc(cap + 1);
+	if (!resp->body)
+		return -ENOMEM;
+	while (chunked || resp->body_len < (size_t)content_length) {
+		int n;
+
+		if (resp->body_len == cap) {
+			char *grown;
+
+			cap *= 2;
+			grown = cap > max_bytes ? NULL : realloc(resp->body, cap + 1);
+			if (!grown)
+				return -EMSGSIZE;
+			resp->body = grown;
+		}
+		n = mg_read(conn, resp->body + resp->body_len, cap - resp->body_len);
+		if (n < 0)
+			return -EBADMSG;
+		if (n == 0)
+			break;
+		resp->body_len += (size_t)n;
+	}
+	resp->body[resp->body_len] = '\0';
+	if (!chunked && resp->body_len != (size_t)content_length)
+		return -EBADMSG;
+	return 0;
+}
+
+static int receive_response(struct http_pool *pool, struct mg_connection *conn, const char *address,
+			    const char *method, uint32_t timeout_ms, struct http_response *resp,
+			    bool *reusable, struct br_error *err)
+{
+	const struct mg_response_info *ri;
+	uint64_t start_us = clock_now_us();
+	char text[128] = "";
+	const char *coding;
+	const char *connection;
+	bool chunked;
+	bool bodyless;
+	int ret;
+
+	if (mg_get_response(conn, text, sizeof(text), (int)timeout_ms) < 0) {
+		bool late = clock_now_us() - start_us + 2 * BR_US_PER_MS >=
+			    (uint64_t)timeout_ms * BR_US_PER_MS;
+
+		return br_error_set(err, late ? -ETIMEDOUT : -ECONNRESET, BR_STEP_RECEIVE, address,
+				    "no response: %s", text);
+	}
+	ri = mg_get_response_info(conn);
+	resp->status = ri->status_code;
+	ret = copy_headers(ri, resp);
+	if (ret)
+		return br_error_set(err, ret, BR_STEP_RECEIVE, address, "out of memory");
+	coding = http_response_header(resp, "Transfer-Encoding");
+	connection = http_response_header(resp, "Connection");
+	chunked = coding && !strcasecmp(coding, "chunked");
+	bodyless = !strcmp(method, "HEAD") || resp->status == 204 || resp->status == 304;
+	*reusable = !connection || strcasecmp(connection, "close") != 0;
+	if (bodyless)
+		return 0;
+	if (!chunked && ri->content_length < 0)
+		return br_error_set(err, -EBADMSG, BR_STEP_RECEIVE, address,
+				    "response has no length, so it may be truncated");
+	ret = read_body(conn, ri->content_length, chunked, pool->cfg.max_body_bytes, resp);
+	if (ret)
+		return br_error_set(err, ret, BR_STEP_RECEIVE, address,
+				    "response body is truncated or too large");
+	return 0;
+}
+
+int http_pool_exchange(struct http_pool *pool, const char *peer, const struct http_request *req,
+		       uint32_t timeout_ms, struct http_response *resp, struct br_error *err)
+{
+	struct mg_connection *conn;
+	bool recently_answered = false;
+	bool reusable = false;
+	int ret;
+
+	memset(resp, 0, sizeof(*resp));
+	conn = take_idle(pool, peer, &recently_answered);
+	if (!conn)
+		conn = open_conn(pool, peer, !recently_answered, err);
+	if (!conn)
+		return err ? err->code : -ECONNREFUSED;
+	ret = send_request(conn, peer, req);
+	if (ret) {
+		mg_close_connection(conn);
+		return br_error_set(err, ret, BR_STEP_SEND, peer, "cannot send the request");
+	}
+	ret = receive_response(pool, conn, peer, req->method, timeout_ms, resp, &reusable, err);
+	if (ret) {
+		mg_close_connection(conn);
+		http_response_free(resp);
+		return ret;
+	}
+	if (reusable)
+		put_idle(pool, peer, conn);
+	else
+		mg_close_connection(conn);
+	return 0;
+}
+
+bool http_request_add(struct http_request *req, const char *name, const char *value)
+{
+	if (req->n_headers == HTTP_MAX_HEADERS)
+		return false;
+	req->headers[req->n_headers++] = (struct http_header){.name = name, .value = value};
+	return true;
+}
+
+const char *http_response_header(const struct http_response *resp, const char *name)
+{
+	for (size_t i = 0; i < resp->n_headers; i++)
+		if (!strcasecmp(resp->headers[i].name, name))
+			return resp->headers[i].value;
+	return NULL;
+}
+
+void http_response_free(struct http_response *resp)
+{
+	free(resp->header_text);
+	free(resp->body);
+	memset(resp, 0, sizeof(*resp));
+}
--- /dev/null
+++ b/common/http_server.c
@@ -0,0 +1,187 @@
+#include "common/http_server.h"
+
+#include "briarreel/error.h"
+#include "common/http_client.h"
+
+#include <civetweb.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define REPLY_HEAD_BYTES 16384
+#define BODY_CHUNK_BYTES 16384
+
+struct http_server {
+	struct mg_context *ctx;
+	http_handler handler;
+	void *user_data;
+};
+
+static int begin_request(struct mg_connection *conn)
+{
+	struct http_server *srv = mg_get_user_data(mg_get_context(conn));
+
+	srv->handler(conn, srv->user_data);
+	return 1;
+}
+
+/* CivetWeb writes its own messages to standard error in its own format; failures reach callers
+ * as return values, so the text is dropped.
+ */
+static int drop_message(const struct mg_connection *conn, const char *message)
+{
+	(void)conn;
+	(void)message;
+	return 1;
+}
+
+struct http_server *http_server_create(const struct http_server_config *cfg, http_handler handler,
+				       void *user_data, struct br_error *err)
+{
+	struct mg_callbacks callbacks = {.begin_request = begin_request,
+					 .log_message = drop_message,
+					 .log_access = drop_message};
+	char workers[16];
+	char keep_alive[16];
+	const char *options[] = {"listening_ports",
+				 cfg->listen,
+				 "num_threads",
+				 workers,
+				 "enable_keep_alive",
+				 "yes",
+				 "keep_alive_timeout_ms",
+				 keep_alive,
+				 "request_timeout_ms",
+				 keep_alive,
+				 "tcp_nodelay",
+				 "1",
+				 "connection_queue",
+				 "1024",
+				 "listen_backlog",
+				 "1024",
+				 NULL};
+	struct http_server *srv = calloc(1, sizeof(*srv));
+
+	if (!srv) {
+		br_error_set(err, -ENOMEM, BR_STEP_CONNECT, cfg->listen, "out of memory");
+		return NULL;
+	}
+	snprintf(workers, sizeof(workers), "%u", cfg->workers);
+	snprintf(keep_alive, sizeof(keep_alive), "%u", cfg->keep_alive_ms);
+	srv->handler = handler;
+	srv->user_data = user_data;
+	srv->ctx = mg_start(&callbacks, srv, options);
+	if (!srv->ctx) {
+		br_error_set(err, -EADDRINUSE, BR_STEP_CONNECT, cfg->listen, "cannot listen");
+		free(srv);
+		return NULL;
+	}
+	return srv;
+}
+
+void http_server_destroy(struct http_server *srv)
+{
+	if (!srv)
+		return;
+	mg_stop(srv->ctx);
+	free(srv);
+}
+
+int http_server_port(const struct http_server *srv)
+{
+	struct mg_server_port ports[1];
+
+	if (mg_get_server_ports(srv->ctx, 1, ports) < 1)
+		return 0;
+	return ports[0].port;
+}
+
+int http_server_read_body(struct mg_connection *conn, size_t max_bytes, char **body, size_t *len)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	long long content_length = ri->content_length;
+	size_t cap = content_length >= 0 ? (size_t)content_length : BODY_CHUNK_BYTES;
+	size_t used = 0;
+	char *buf;
+
+	*body = NULL;
+	*len = 0;
+	if (content_length >= 0 && (unsigned long long)content_length > max_bytes)
+		return -EMSGSIZE;
+	buf = malloc(cap + 1);
+	if (!buf)
+		return -ENOMEM;
+	while (content_length < 0 || used < (size_t)content_length) {
+		int n;
+
+		if (used == cap) {
+			char *grown;
+
+			cap = cap * 2 > max_bytes ? max_bytes : cap * 2;
+			grown = used == max_bytes ? NULL : realloc(buf, cap + 1);
+			if (!grown) {
+				free(buf);
+				return -EMSGSIZE;
+			}
+			buf = grown;
+		}
+		n = mg_read(conn, buf + used, cap - used);
+		if (n <= 0)
+			break;
+		used += (size_t)n;
+	}
+	if (content_length >= 0 && used != (size_t)content_length) {
+		free(buf);
+		return -EBADMSG;
+	}
+	buf[used] = '\0';
+	*body = buf;
+	*len = used;
+	return 0;
+}
+
+int http_server_reply(struct mg_connection *conn, const struct http_reply *reply)
+{
+	char *buf = malloc(REPLY_HEAD_BYTES + reply->body_len);
+	size_t len;
+	int n;
+	int ret;
+
+	if (!buf)
+		return -ENOMEM;
+	if (reply->close)
+		mg_disable_keep_alive(conn);
+	n = snprintf(buf, REPLY_HEAD_BYTES, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s",
+		     reply->status, mg_get_response_code_text(conn, reply->status), reply->body_len,
+		     reply->close ? "Connection: close\r\n" : "");
+	len = (size_t)n;
+	for (size_t i = 0; i < reply->n_headers; i++) {
+		n = snprintf(buf + len, REPLY_HEAD_BYTES - len, "%s: %s\r\n",
+			     reply->headers[i].name, reply->headers[i].value);
+		/* Headers beyond the limit are left out whole rather than cut in the middle. */
+		if (len + (size_t)n + 2 >= REPLY_HEAD_BYTES)
+			break;
+		len += (size_t)n;
+	}
+	memcpy(buf + len, "\r\n", 2);
+	len += 2;
+	if (reply->body_len)
+		memcpy(buf + len, reply->body, reply->body_len);
+	len += reply->body_len;
+	ret = mg_write(conn, buf, len) == (int)len ? 0 : -EPIPE;
+	free(buf);
+	return ret;
+}
+
+int http_server_reply_text(struct mg_connection *conn, int status, const char *text)
+{
+	struct http_header type = {.name = "Content-Type", .value = "text/plain; charset=utf-8"};
+	struct http_reply reply = {.status = status,
+				   .headers = &type,
+				   .n_headers = 1,
+				   .body = text,
+				   .body_len = strlen(text)};
+
+	return http_server_reply(conn, &reply);
+}
