Add the node daemon

Cause: there was no process that serves a request. Change: caller, peer, local and admin listeners; forwarding with attempts, retries and re-attachment after a silent connection; dispatch to the target under admission control; claims of request ids; gossip of membership, slots and configuration over nng; platform client; rate leases.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -317,26 +317,49 @@
 	return 0;
 }
 
+/* Waits for the response's header, in steps of the silence limit if there is one. */
+static int await_header(struct mg_connection *conn, const char *address,
+			const struct http_wait *wait, struct br_error *err)
+{
+	uint64_t end_us = clock_now_us() + (uint64_t)wait->timeout_ms * BR_US_PER_MS;
+	char text[128] = "";
+
+	for (;;) {
+		uint64_t step_us = clock_now_us();
+		uint64_t left_ms = step_us < end_us ? (end_us - step_us) / BR_US_PER_MS : 0;
+		uint64_t step_ms = left_ms;
+
+		if (wait->silence_ms && wait->silence_ms < left_ms)
+			step_ms = wait->silence_ms;
+		if (mg_get_response(conn, text, sizeof(text), (int)step_ms) >= 0)
+			return 0;
+		/* CivetWeb does not tell a timeout from a closed connection; the time does. */
+		if (clock_now_us() + 2 * BR_US_PER_MS < step_us + step_ms * BR_US_PER_MS)
+			return br_error_set(err, -ECONNRESET, BR_STEP_RECEIVE, address,
+					    "connection closed: %s", text);
+		if (clock_now_us() + 2 * BR_US_PER_MS >= end_us)
+			return br_error_set(err, -ETIMEDOUT, BR_STEP_RECEIVE, address,
+					    "no response within %u ms", wait->timeout_ms);
+		if (!wait->on_silence(wait->arg))
+			return br_error_set(err, -EREMOTEIO, BR_STEP_RECEIVE, address,
+					    "connection is silent");
+	}
+}
+
 static int receive_response(struct http_pool *pool, struct mg_connection *conn, const char *address,
-			    const char *method, uint32_t timeout_ms, struct http_response *resp,
-			    bool *reusable, struct br_error *err)
+			    const char *method, const struct http_wait *wait,
+			    struct http_response *resp, bool *reusable, struct br_error *err)
 {
 	const struct mg_response_info *ri;
-	uint64_t start_us = clock_now_us();
-	char text[128] = "";
 	const char *coding;
 	const char *connection;
 	bool chunked;
 	bool bodyless;
 	int ret;
 
-	if (mg_get_response(conn, text, sizeof(text), (int)timeout_ms) < 0) {
-		bool late = clock_now_us() - start_us + 2 * BR_US_PER_MS >=
-			    (uint64_t)timeout_ms * BR_US_PER_MS;
-
-		return br_error_set(err, late ? -ETIMEDOUT : -ECONNRESET, BR_STEP_RECEIVE, address,
-				    "no response: %s", text);
-	}
+	ret = await_header(conn, address, wait, err);
+	if (ret)
+		return ret;
 	ri = mg_get_response_info(conn);
 	resp->status = ri->status_code;
 	ret = copy_headers(ri, resp);
@@ -361,6 +384,15 @@
 
 int http_pool_exchange(struct http_pool *pool, const char *peer, const struct http_request *req,
 		       uint32_t timeout_ms, struct http_response *resp, struct br_error *err)
+{
+	struct http_wait wait = {.timeout_ms = timeout_ms};
+
+	return http_pool_exchange_wait(pool, peer, req, &wait, resp, err);
+}
+
+int http_pool_exchange_wait(struct http_pool *pool, const char *peer,
+			    const struct http_request *req, const struct http_wait *wait,
+			    struct http_response *resp, struct br_error *err)
 {
 	struct mg_connection *conn;
 	bool recently_answered = false;
@@ -378,7 +410,7 @@
 		mg_close_connection(conn);
 		return br_error_set(err, ret, BR_STEP_SEND, peer, "cannot send the request");
 	}
-	ret = receive_response(pool, conn, peer, req->method, timeout_ms, resp, &reusable, err);
+	ret = receive_response(pool, conn, peer, req->method, wait, resp, &reusable, err);
 	if (ret) {
 		mg_close_connection(conn);
 		http_response_free(resp);
--- a/common/http_client.h
+++ b/common/http_client.h
@@ -55,6 +55,26 @@
 struct http_pool *http_pool_create(const struct http_pool_config *cfg);
 void http_pool_destroy(struct http_pool *pool);
 
+/**
+ * Asked each time that no byte of the response came for the silence limit. Returns true to go on
+ * waiting on this connection, false to give it up.
+ */
+typedef bool (*http_silence_cb)(void *arg);
+
+/** How long to wait for a response. */
+struct http_wait {
+	uint32_t timeout_ms;
+	/** 0 if silence is not looked at. */
+	uint32_t silence_ms;
+	http_silence_cb on_silence;
+	void *arg;
+};
+
+/** http_pool_exchange() with a check of silent connections; -EREMOTEIO if one was given up. */
+int http_pool_exchange_wait(struct http_pool *pool, const char *peer,
+			    const struct http_request *req, const struct http_wait *wait,
+			    struct http_response *resp, struct br_error *err);
+
 /**
  * Sends req to peer ("ip:port") and waits up to timeout_ms for the whole response.
  *
--- /dev/null
+++ b/node/agent.h
@@ -0,0 +1,23 @@
+/**
+ * @file agent.h
+ * The agent role: a few nodes of each zone watch the configuration on the platform for all nodes.
+ * Control thread only.
+ */
+#ifndef NODE_AGENT_H
+#define NODE_AGENT_H
+
+#include <stdint.h>
+
+struct agent;
+struct control;
+
+struct agent *agent_create(struct control *ctl);
+void agent_destroy(struct agent *a);
+
+/** Seeks or keeps the role and looks for first contacts; call about every 100 ms. */
+void agent_tick(struct agent *a, uint64_t now_us);
+
+/** Gives the role up when the node leaves. */
+void agent_resign(struct agent *a);
+
+#endif
--- /dev/null
+++ b/node/claims.c
@@ -0,0 +1,367 @@
+#include "node/claims.h"
+
+#include "briarreel/error.h"
+#include "briarreel/view.h"
+#include "common/clock.h"
+#include "common/http_server.h"
+#include "common/log.h"
+#include "node/blackboard.h"
+#include "node/counters.h"
+#include "node/forward.h"
+#include "node/node.h"
+
+#include <errno.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_PREFIX "claims"
+
+#define CALL_TIMEOUT_MS 500
+#define MAX_MESSAGE_BYTES 4096
+
+/** What a registrar message asks for. */
+enum claim_op {
+	CLAIM_OP_CLAIM,
+	CLAIM_OP_MOVE,
+	CLAIM_OP_RELEASE,
+	CLAIM_OPS
+};
+
+static const char *const op_names[CLAIM_OPS] = {
+	[CLAIM_OP_CLAIM] = "claim",
+	[CLAIM_OP_MOVE] = "move",
+	[CLAIM_OP_RELEASE] = "release",
+};
+
+/** A registrar message. */
+struct claim_message {
+	enum claim_op op;
+	char account[BR_NAME_BYTES];
+	char id[BR_REQUEST_ID_BYTES];
+	uint32_t slot;
+	bool first;
+	struct br_attempt_id from;
+	struct br_claim_where where;
+};
+
+struct claims {
+	struct node *node;
+	pthread_mutex_t lock;
+	/** NULL until the number of slots is known. */
+	struct br_registrar *registrar;
+	uint32_t n_slots;
+	bool held[BR_SLOTS_MAX];
+};
+
+struct claims *claims_create(struct node *node)
+{
+	struct claims *cl = calloc(1, sizeof(*cl));
+
+	if (!cl)
+		return NULL;
+	cl->node = node;
+	pthread_mutex_init(&cl->lock, NULL);
+	return cl;
+}
+
+void claims_destroy(struct claims *cl)
+{
+	if (!cl)
+		return;
+	if (cl->registrar)
+		br_registrar_destroy(cl->registrar);
+	pthread_mutex_destroy(&cl->lock);
+	free(cl);
+}
+
+/* Runs a message against the registrar of this node. */
+static void run_local(struct claims *cl, const struct claim_message *m,
+		      struct br_claim_reply *reply)
+{
+	struct br_claim_key key = {.account = m->account, .id = m->id};
+	uint64_t now_us = clock_now_us();
+
+	*reply = (struct br_claim_reply){.result = BR_CLAIM_NOT_HOLDER};
+	if (!blackboard_slot_is_own(cl->node->board, m->slot, now_us))
+		return;
+	pthread_mutex_lock(&cl->lock);
+	if (cl->registrar && br_registrar_held(cl->registrar, m->slot)) {
+		switch (m->op) {
+		case CLAIM_OP_CLAIM:
+			*reply = br_registrar_claim(cl->registrar, m->slot, &key, m->first,
+						    &m->where, now_us);
+			break;
+		case CLAIM_OP_MOVE:
+			*reply = br_registrar_move(cl->registrar, m->slot, &key, &m->from,
+						   &m->where, now_us);
+			break;
+		case CLAIM_OP_RELEASE:
+			br_registrar_release(cl->registrar, m->slot, &key, &m->from, now_us);
+			reply->result = BR_CLAIM_RELEASED;
+			break;
+		case CLAIM_OPS:
+			break;
+		}
+		counter_add(reply->result == BR_CLAIM_GRANTED ? COUNTER_REGISTRAR_CLAIMS
+							      : COUNTER_REGISTRAR_REFUSED,
+			    1);
+	}
+	pthread_mutex_unlock(&cl->lock);
+	/* A pause between the check and the claim may have outlasted the right to the slot. */
+	if (!blackboard_slot_is_own(cl->node->board, m->slot, clock_now_us()))
+		reply->result = BR_CLAIM_NOT_HOLDER;
+}
+
+static void add_text(struct json_object *obj, const char *key, const char *text)
+{
+	json_object_object_add(obj, key, json_object_new_string(text));
+}
+
+static void add_where(struct json_object *obj, const struct br_claim_where *where)
+{
+	char attempt[BR_ATTEMPT_ID_BYTES];
+
+	br_attempt_id_format(&where->attempt, attempt);
+	add_text(obj, "attempt", attempt);
+	add_text(obj, "node", where->node.text);
+	json_object_object_add(obj, "incarnation",
+			       json_object_new_int64((int64_t)where->incarnation));
+}
+
+static const char *get_text(struct json_object *obj, const char *key)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(obj, key, &v) || !json_object_is_type(v, json_type_string))
+		return "";
+	return json_object_get_string(v);
+}
+
+static int64_t get_number(struct json_object *obj, const char *key)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(obj, key, &v) ? json_object_get_int64(v) : 0;
+}
+
+static bool get_where(struct json_object *obj, struct br_claim_where *where)
+{
+	where->incarnation = (uint64_t)get_number(obj, "incarnation");
+	return br_copy_text(where->node.text, sizeof(where->node.text), get_text(obj, "node")) &&
+	       !br_attempt_id_parse(get_text(obj, "attempt"), &where->attempt);
+}
+
+static struct json_object *encode_message(const struct claim_message *m)
+{
+	struct json_object *obj = json_object_new_object();
+	char from[BR_ATTEMPT_ID_BYTES];
+
+	add_text(obj, "op", op_names[m->op]);
+	add_text(obj, "account", m->account);
+	add_text(obj, "id", m->id);
+	json_object_object_add(obj, "slot", json_object_new_int((int32_t)m->slot));
+	json_object_object_add(obj, "first", json_object_new_boolean(m->first));
+	if (m->op != CLAIM_OP_CLAIM) {
+		br_attempt_id_format(&m->from, from);
+		add_text(obj, "from", from);
+	}
+	if (m->op != CLAIM_OP_RELEASE)
+		add_where(obj, &m->where);
+	return obj;
+}
+
+static bool decode_message(const char *text, struct claim_message *m)
+{
+	struct json_object *obj = json_tokener_parse(text);
+	struct json_object *first;
+	bool ok = false;
+	int op;
+
+	memset(m, 0, sizeof(*m));
+	for (op = 0; op < CLAIM_OPS; op++)
+		if (!strcmp(get_text(obj, "op"), op_names[op]))
+			break;
+	m->op = (enum claim_op)op;
+	m->slot = (uint32_t)get_number(obj, "slot");
+	m->first =
+		json_object_object_get_ex(obj, "first", &first) && json_object_get_boolean(first);
+	ok = op < CLAIM_OPS && m->slot < BR_SLOTS_MAX && get_text(obj, "id")[0] &&
+	     br_copy_text(m->account, sizeof(m->account), get_text(obj, "account")) &&
+	     br_copy_text(m->id, sizeof(m->id), get_text(obj, "id")) &&
+	     (op == CLAIM_OP_CLAIM || !br_attempt_id_parse(get_text(obj, "from"), &m->from)) &&
+	     (op == CLAIM_OP_RELEASE || get_where(obj, &m->where));
+	json_object_put(obj);
+	return ok;
+}
+
+void claims_handle(struct claims *cl, struct mg_connection *conn)
+{
+	struct http_header type = {.name = "Content-Type", .value = "application/json"};
+	struct claim_message m;
+	struct br_claim_reply reply;
+	struct http_reply http = {.status = 200, .headers = &type, .n_headers = 1};
+	struct json_object *obj;
+	char *body;
+	size_t len;
+
+	if (http_server_read_body(conn, MAX_MESSAGE_BYTES, &body, &len) ||
+	    !decode_message(body, &m)) {
+		counter_add(COUNTER_PEER_REJECTED, 1);
+		free(body);
+		http_server_reply_text(conn, 400, "malformed registrar message\n");
+		return;
+	}
+	free(body);
+	run_local(cl, &m, &reply);
+	obj = json_object_new_object();
+	json_object_object_add(obj, "result", json_object_new_int((int32_t)reply.result));
+	json_object_object_add(obj, "retry_after_us",
+			       json_object_new_int64((int64_t)reply.retry_after_us));
+	if (reply.result == BR_CLAIM_RUNS_AT || reply.result == BR_CLAIM_DISPATCHING)
+		add_where(obj, &reply.where);
+	http.body = json_object_to_json_string(obj);
+	http.body_len = strlen(http.body);
+	http_server_reply(conn, &http);
+	json_object_put(obj);
+}
+
+static int decode_reply(const char *text, struct br_claim_reply *reply)
+{
+	struct json_object *obj = json_tokener_parse(text);
+	int ret = 0;
+
+	memset(reply, 0, sizeof(*reply));
+	reply->result = (enum br_claim_result)get_number(obj, "result");
+	reply->retry_after_us = (uint64_t)get_number(obj, "retry_after_us");
+	if (!obj || (int)reply->result < 0 || reply->result > BR_CLAIM_RELEASED)
+		ret = -EBADMSG;
+	else if (reply->result == BR_CLAIM_RUNS_AT && !get_where(obj, &reply->where))
+		ret = -EBADMSG;
+	json_object_put(obj);
+	return ret;
+}
+
+static int run_remote(struct claims *cl, const struct br_node_id *holder,
+		      const struct claim_message *m, uint32_t timeout_ms,
+		      struct br_claim_reply *reply)
+{
+	struct http_request req = {.method = "POST", .target = "/briarreel/registrar"};
+	struct json_object *obj = encode_message(m);
+	struct http_response resp;
+	struct br_error err;
+	int ret;
+
+	forward_sign(cl->node->forward, &req);
+	req.body = json_object_to_json_string(obj);
+	req.body_len = strlen(req.body);
+	ret = http_pool_exchange(cl->node->peers, holder->text, &req, timeout_ms, &resp, &err);
+	json_object_put(obj);
+	if (ret) {
+		log_info("Registrar %s: %s: %s.", err.peer, br_step_name(err.step), err.detail);
+		return ret;
+	}
+	ret = resp.status == 200 ? decode_reply(resp.body, reply) : -EBADMSG;
+	http_response_free(&resp);
+	return ret;
+}
+
+static int run_message(struct claims *cl, const struct claim_message *m, uint32_t timeout_ms,
+		       struct br_claim_reply *reply)
+{
+	struct br_slot_holder holder;
+
+	if (!blackboard_slot_holder(cl->node->board, m->slot, &holder))
+		return -EHOSTUNREACH;
+	if (br_node_id_equal(&holder.node, &cl->node->id)) {
+		run_local(cl, m, reply);
+		return 0;
+	}
+	return run_remote(cl, &holder.node, m, timeout_ms, reply);
+}
+
+static void fill_message(struct claims *cl, const struct call *c, struct claim_message *m)
+{
+	struct br_claim_key key = {.account = c->account, .id = c->request_id};
+	uint32_t n_slots = blackboard_n_slots(cl->node->board);
+
+	br_copy_text(m->account, sizeof(m->account), c->account);
+	br_copy_text(m->id, sizeof(m->id), c->request_id);
+	m->slot = n_slots ? br_registrar_slot_of(&key, n_slots) : 0;
+	m->first = c->first_attempt;
+}
+
+int claims_claim(struct claims *cl, const struct call *c, const struct br_attempt_id *from,
+		 const struct br_claim_where *where, struct br_claim_reply *reply)
+{
+	struct claim_message m = {.op = from ? CLAIM_OP_MOVE : CLAIM_OP_CLAIM, .where = *where};
+	uint32_t left_ms = call_left_ms(c, clock_now_us());
+	int ret;
+
+	if (from)
+		m.from = *from;
+	fill_message(cl, c, &m);
+	ret = run_message(cl, &m, left_ms < CALL_TIMEOUT_MS ? left_ms + 1 : CALL_TIMEOUT_MS, reply);
+	if (ret)
+		claims_release(cl, c, &where->attempt);
+	return ret;
+}
+
+void claims_release(struct claims *cl, const struct call *c, const struct br_attempt_id *attempt)
+{
+	struct claim_message m = {.op = CLAIM_OP_RELEASE, .from = *attempt};
+	struct br_claim_reply reply;
+
+	fill_message(cl, c, &m);
+	run_message(cl, &m, CALL_TIMEOUT_MS, &reply);
+}
+
+static bool ensure_registrar(struct claims *cl, uint32_t n_slots)
+{
+	struct br_view *view = blackboard_config(cl->node->board);
+	struct br_registrar_config cfg = {.n_slots = n_slots};
+
+	if (view)
+		cfg.window_us = (uint64_t)br_view_mesh(view)->dedupe_window_s * BR_US_PER_S;
+	br_view_put(view);
+	if (cl->registrar && cl->n_slots == n_slots)
+		return true;
+	/* A changed number of slots moves ids between slots, so nothing that is known applies. */
+	if (cl->registrar)
+		br_registrar_destroy(cl->registrar);
+	memset(cl->held, 0, sizeof(cl->held));
+	cl->registrar = br_registrar_create(&cfg);
+	cl->n_slots = n_slots;
+	return cl->registrar != NULL;
+}
+
+void claims_update_slots(struct claims *cl, uint64_t now_us)
+{
+	uint32_t n_slots = blackboard_n_slots(cl->node->board);
+
+	if (!n_slots)
+		return;
+	pthread_mutex_lock(&cl->lock);
+	if (ensure_registrar(cl, n_slots)) {
+		for (uint32_t i = 0; i < n_slots; i++) {
+			bool own = blackboard_slot_is_own(cl->node->board, i, now_us);
+
+			if (own && !cl->held[i])
+				br_registrar_takeover(cl->registrar, i, clock_wall_ms(), now_us,
+						      false);
+			if (!own && cl->held[i])
+				br_registrar_drop(cl->registrar, i);
+			cl->held[i] = own;
+		}
+	}
+	pthread_mutex_unlock(&cl->lock);
+}
+
+void claims_tick(struct claims *cl, uint64_t now_us)
+{
+	pthread_mutex_lock(&cl->lock);
+	if (cl->registrar)
+		br_registrar_expire(cl->registrar, now_us);
+	pthread_mutex_unlock(&cl->lock);
+}
--- /dev/null
+++ b/node/conn_watch.c
@@ -0,0 +1,171 @@
+#include "node/conn_watch.h"
+
+#include "briarreel/types.h"
+#include "common/clock.h"
+
+#include <arpa/inet.h>
+#include <civetweb.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+/* Requests younger than this are not looked at: most are answered by then. */
+#define WATCH_AFTER_US (50 * BR_US_PER_MS)
+#define WATCH_INTERVAL_MS 50
+/* Descriptors are given out densely; a longer gap than this is the end of those in use. */
+#define FD_GAP_MAX 256
+
+struct conn_watch {
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_cond_t idle;
+	bool stop;
+	struct conn_watch_entry *head;
+};
+
+/* Finds the socket of a connection by its two ends, since CivetWeb does not give it. */
+static bool fd_matches(int fd, const struct conn_watch_entry *e)
+{
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+
+	if (getpeername(fd, (struct sockaddr *)&sa, &len) || sa.sin_family != AF_INET ||
+	    ntohs(sa.sin_port) != e->remote_port || sa.sin_addr.s_addr != e->remote_ip)
+		return false;
+	len = sizeof(sa);
+	return !getsockname(fd, (struct sockaddr *)&sa, &len) &&
+	       ntohs(sa.sin_port) == e->local_port;
+}
+
+static void find_fds(struct conn_watch *w, uint64_t now_us)
+{
+	bool needed = false;
+	int gap = 0;
+
+	for (struct conn_watch_entry *e = w->head; e; e = e->next)
+		needed |= e->fd < 0 && now_us - e->since_us > WATCH_AFTER_US;
+	for (int fd = 3; needed && gap < FD_GAP_MAX; fd++) {
+		struct sockaddr_in sa;
+		socklen_t len = sizeof(sa);
+
+		if (getpeername(fd, (struct sockaddr *)&sa, &len)) {
+			gap = errno == EBADF ? gap + 1 : 0;
+			continue;
+		}
+		gap = 0;
+		for (struct conn_watch_entry *e = w->head; e; e = e->next)
+			if (e->fd < 0 && ntohs(sa.sin_port) == e->remote_port && fd_matches(fd, e))
+				e->fd = fd;
+	}
+}
+
+static bool peer_gone(int fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+static void check_entries(struct conn_watch *w)
+{
+	struct conn_watch_entry *e = w->head;
+
+	while (e) {
+		if (e->fd < 0 || e->gone || !peer_gone(e->fd)) {
+			e = e->next;
+			continue;
+		}
+		e->gone = true;
+		e->busy = true;
+		pthread_mutex_unlock(&w->lock);
+		e->cb(e->arg);
+		pthread_mutex_lock(&w->lock);
+		e->busy = false;
+		pthread_cond_broadcast(&w->idle);
+		/* The list may have changed while the lock was free. */
+		e = w->head;
+	}
+}
+
+static void *watch_main(void *arg)
+{
+	struct conn_watch *w = arg;
+
+	pthread_mutex_lock(&w->lock);
+	while (!w->stop) {
+		find_fds(w, clock_now_us());
+		check_entries(w);
+		pthread_mutex_unlock(&w->lock);
+		clock_sleep_ms(WATCH_INTERVAL_MS);
+		pthread_mutex_lock(&w->lock);
+	}
+	pthread_mutex_unlock(&w->lock);
+	return NULL;
+}
+
+struct conn_watch *conn_watch_create(void)
+{
+	struct conn_watch *w = calloc(1, sizeof(*w));
+
+	if (!w)
+		return NULL;
+	pthread_mutex_init(&w->lock, NULL);
+	pthread_cond_init(&w->idle, NULL);
+	if (pthread_create(&w->thread, NULL, watch_main, w)) {
+		free(w);
+		return NULL;
+	}
+	return w;
+}
+
+void conn_watch_destroy(struct conn_watch *w)
+{
+	if (!w)
+		return;
+	pthread_mutex_lock(&w->lock);
+	w->stop = true;
+	pthread_mutex_unlock(&w->lock);
+	pthread_join(w->thread, NULL);
+	pthread_cond_destroy(&w->idle);
+	pthread_mutex_destroy(&w->lock);
+	free(w);
+}
+
+void conn_watch_begin(struct conn_watch *w, struct conn_watch_entry *e,
+		      const struct mg_connection *conn, conn_gone_cb cb, void *arg)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	struct in_addr addr = {0};
+
+	inet_pton(AF_INET, ri->remote_addr, &addr);
+	*e = (struct conn_watch_entry){.remote_port = (uint16_t)ri->remote_port,
+				       .local_port = (uint16_t)ri->server_port,
+				       .remote_ip = addr.s_addr,
+				       .fd = -1,
+				       .since_us = clock_now_us(),
+				       .cb = cb,
+				       .arg = arg};
+	pthread_mutex_lock(&w->lock);
+	e->next = w->head;
+	if (w->head)
+		w->head->prev = e;
+	w->head = e;
+	pthread_mutex_unlock(&w->lock);
+}
+
+void conn_watch_end(struct conn_watch *w, struct conn_watch_entry *e)
+{
+	pthread_mutex_lock(&w->lock);
+	while (e->busy)
+		pthread_cond_wait(&w->idle, &w->lock);
+	if (e->prev)
+		e->prev->next = e->next;
+	else
+		w->head = e->next;
+	if (e->next)
+		e->next->prev = e->prev;
+	pthread_mutex_unlock(&w->lock);
+}
--- /dev/null
+++ b/node/http_call.c
@@ -0,0 +1,127 @@
+#include "node/http_call.h"
+
+#include "common/http_server.h"
+
+#include <civetweb.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Headers that the system adds to a reply. */
+#define OWN_HEADERS 5
+
+bool http_call_target(const struct mg_connection *conn, char *target, size_t bytes)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	const char *path = ri->request_uri ? ri->request_uri : "";
+	int n = snprintf(target, bytes, "%s%s%s", path, ri->query_string ? "?" : "",
+			 ri->query_string ? ri->query_string : "");
+
+	return path[0] == '/' && n > 0 && (size_t)n < bytes;
+}
+
+void http_call_copy_headers(const struct mg_connection *conn, const char *secret, struct call *c)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+
+	for (int i = 0; i < ri->num_headers; i++) {
+		const struct mg_header *h = &ri->http_headers[i];
+
+		/* Room is left for the headers that each hop adds. */
+		if (c->n_headers >= HTTP_MAX_HEADERS - 16)
+			return;
+		if (call_header_is_private(h->name) ||
+		    (secret && (strstr(h->value, secret) || strstr(h->name, secret))))
+			continue;
+		c->headers[c->n_headers++] =
+			(struct http_header){.name = h->name, .value = h->value};
+	}
+}
+
+static bool request_id_valid(const char *id)
+{
+	static const char allowed[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				      "0123456789-_.:@";
+	size_t len = strlen(id);
+
+	return len && len < BR_REQUEST_ID_BYTES && strspn(id, allowed) == len;
+}
+
+bool http_call_request_id(const struct mg_connection *conn, char *id, size_t bytes)
+{
+	const char *own = mg_get_header(conn, "Briarreel-Request-Id");
+	const char *common = mg_get_header(conn, "Idempotency-Key");
+
+	id[0] = '\0';
+	if (own && common && strcmp(own, common) != 0)
+		return false;
+	if (!own)
+		own = common;
+	if (!own)
+		return true;
+	return request_id_valid(own) && br_copy_text(id, bytes, own);
+}
+
+bool http_call_number(const struct mg_connection *conn, const char *name, uint64_t fallback,
+		      uint64_t max, uint64_t *out)
+{
+	const char *text = mg_get_header(conn, name);
+	char *end;
+
+	*out = fallback;
+	if (!text)
+		return true;
+	if (text[0] < '0' || text[0] > '9' || strlen(text) > 20)
+		return false;
+	*out = strtoull(text, &end, 10);
+	return !*end && *out <= max;
+}
+
+/* Text of a reply that carries no answer of a target. */
+static const char *describe(const struct br_outcome *o, char *text, size_t bytes)
+{
+	snprintf(text, bytes, "%s: %s\n", br_outcome_name(o), br_reason_name(br_outcome_reason(o)));
+	return text;
+}
+
+void http_call_reply(struct mg_connection *conn, const struct call *c,
+		     const struct call_answer *ans, const char *slots, bool close)
+{
+	struct http_header headers[HTTP_MAX_HEADERS + OWN_HEADERS];
+	struct http_reply reply = {
+		.status = br_outcome_status(&ans->outcome), .headers = headers, .close = close};
+	uint32_t retry_after_s = br_outcome_retry_after_s(&ans->outcome);
+	char retry_after[16];
+	char text[128];
+	size_t n = 0;
+
+	headers[n++] = (struct http_header){"Briarreel-Outcome", br_outcome_name(&ans->outcome)};
+	if (c && c->request_id[0])
+		headers[n++] = (struct http_header){"Briarreel-Request-Id", c->request_id};
+	if (slots && slots[0])
+		headers[n++] = (struct http_header){"Briarreel-Local-Slots", slots};
+	if (ans->outcome.kind == BR_OUTCOME_ANSWERED) {
+		for (size_t i = 0; i < ans->resp.n_headers; i++)
+			if (!call_header_is_private(ans->resp.headers[i].name))
+				headers[n++] = ans->resp.headers[i];
+		reply.body = ans->resp.body;
+		reply.body_len = ans->resp.body_len;
+	} else {
+		headers[n++] = (struct http_header){
+			"Briarreel-Reason", br_reason_name(br_outcome_reason(&ans->outcome))};
+		snprintf(retry_after, sizeof(retry_after), "%u", retry_after_s);
+		if (retry_after_s)
+			headers[n++] = (struct http_header){"Retry-After", retry_after};
+		reply.body = describe(&ans->outcome, text, sizeof(text));
+		reply.body_len = strlen(text);
+	}
+	reply.n_headers = n;
+	http_server_reply(conn, &reply);
+}
+
+void http_call_refuse(struct mg_connection *conn, struct br_outcome outcome, bool close)
+{
+	struct call_answer ans = {.outcome = outcome};
+
+	http_call_reply(conn, NULL, &ans, NULL, close);
+}
--- /dev/null
+++ b/node/lease_control.c
@@ -0,0 +1,233 @@
+#include "node/lease_control.h"
+
+#include "briarreel/grantor.h"
+#include "briarreel/view.h"
+#include "common/clock.h"
+#include "node/blackboard.h"
+#include "node/control.h"
+#include "node/counters.h"
+#include "node/gossip.h"
+#include "node/node.h"
+#include "node/rates.h"
+#include "node/slot_control.h"
+#include "node/wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_REQUESTS 256
+#define LEASE_TIMEOUT_MS 500
+/* NTP keeps the clock rates of VMs within 500 ppm of each other. */
+#define CLOCK_RATE_MARGIN_PPM 500
+
+struct lease_control {
+	struct control *ctl;
+	struct br_grantor *grantor;
+	uint64_t term_us;
+	uint64_t tick_us;
+};
+
+/** Requests to one holder that wait for its answer. */
+struct batch {
+	struct lease_control *lc;
+	struct rates_request reqs[MAX_REQUESTS];
+	size_t n;
+};
+
+struct lease_control *lease_control_create(struct control *ctl)
+{
+	struct lease_control *lc = calloc(1, sizeof(*lc));
+
+	if (lc)
+		lc->ctl = ctl;
+	return lc;
+}
+
+void lease_control_destroy(struct lease_control *lc)
+{
+	if (!lc)
+		return;
+	if (lc->grantor)
+		br_grantor_destroy(lc->grantor);
+	free(lc);
+}
+
+static void set_entitlement(struct lease_control *lc, const struct br_record *rec, uint64_t now_us)
+{
+	struct br_slots *slots = slot_control_slots(control_slots(lc->ctl));
+	uint32_t n_slots = slot_control_count(control_slots(lc->ctl));
+	uint64_t burst_ntok = rec->account.burst * BR_NTOK_PER_TOKEN;
+	struct br_slot_part sum = {0};
+	struct br_slot_set set;
+
+	br_slots_of_account(rec->name, rec->account.burst, n_slots, &set);
+	for (uint32_t i = 0; i < n_slots; i++) {
+		struct br_slot_part part;
+
+		if (!br_slots_may_grant(slots, i, now_us))
+			continue;
+		part = br_slot_part_of(&set, i, rec->account.rate_mtok_s, burst_ntok);
+		sum.rate_mtok_s += part.rate_mtok_s;
+		sum.burst_ntok += part.burst_ntok;
+	}
+	br_grantor_set_entitlement(lc->grantor, rec->name, sum.rate_mtok_s, sum.burst_ntok, now_us);
+}
+
+static bool ensure_grantor(struct lease_control *lc, const struct br_view *view)
+{
+	struct br_grantor_config cfg = {
+		.incarnation = control_node(lc->ctl)->instance,
+		.lease_term_us = (uint64_t)br_view_mesh(view)->lease_term_ms * BR_US_PER_MS,
+		.rate_margin_ppm = CLOCK_RATE_MARGIN_PPM};
+
+	if (!lc->grantor && slot_control_slots(control_slots(lc->ctl)))
+		lc->grantor = br_grantor_create(&cfg);
+	return lc->grantor != NULL;
+}
+
+void lease_control_refresh(struct lease_control *lc, uint64_t now_us)
+{
+	struct br_view *view = blackboard_config(control_node(lc->ctl)->board);
+	const struct br_record *const *recs;
+	size_t n;
+
+	if (view && ensure_grantor(lc, view)) {
+		recs = br_view_records(view, BR_RECORD_ACCOUNT, &n);
+		for (size_t i = 0; i < n; i++)
+			set_entitlement(lc, recs[i], now_us);
+	}
+	br_view_put(view);
+	rates_refresh(control_node(lc->ctl)->rates, now_us);
+}
+
+/* Grants from this node's own slots. */
+static int grant(struct lease_control *lc, const struct br_lease_req *req, uint64_t now_us,
+		 struct br_lease_rep *rep)
+{
+	struct br_slots *slots = slot_control_slots(control_slots(lc->ctl));
+	int ret;
+
+	br_grantor_set_valid_until(lc->grantor, br_slots_right_until(slots));
+	ret = br_grantor_request(lc->grantor, req, now_us, rep);
+	counter_add(COUNTER_LEASE_GRANTS, !ret);
+	return ret;
+}
+
+static const struct br_lease_rep *find_reply(const struct br_lease_rep *reps, size_t n,
+					     const struct br_lease_req *req)
+{
+	for (size_t i = 0; i < n; i++)
+		if (reps[i].seq == req->seq && !strcmp(reps[i].account, req->account))
+			return &reps[i];
+	return NULL;
+}
+
+static void read_batch(struct control *ctl, void *arg, const struct wire_in *msg, uint64_t now_us)
+{
+	struct batch *b = arg;
+	struct br_lease_rep *reps = NULL;
+	const msgpack_object *items;
+	uint32_t n = 0;
+	size_t n_reps = 0;
+
+	if (msg && msg->type == WIRE_LEASE_RESULT && msg->n_args == 1 &&
+	    wire_get_array(&msg->args[0], &items, &n)) {
+		reps = calloc(n + 1, sizeof(*reps));
+		for (uint32_t i = 0; reps && i < n; i++)
+			if (wire_get_lease_rep(&items[i], &reps[n_reps]))
+				n_reps++;
+	}
+	for (size_t i = 0; i < b->n; i++)
+		rates_answer(control_node(ctl)->rates, &b->reqs[i],
+			     find_reply(reps, n_reps, &b->reqs[i].req), now_us);
+	free(reps);
+	free(b);
+}
+
+static void send_batch(struct lease_control *lc, struct batch *b)
+{
+	struct gossip *g = control_gossip(lc->ctl);
+	struct br_member m;
+	struct wire_out out;
+
+	counter_add(COUNTER_LEASE_REQUESTS, b->n);
+	if (!br_members_find(gossip_members(g), &b->reqs[0].holder.node, &m)) {
+		read_batch(lc->ctl, b, NULL, clock_now_us());
+		return;
+	}
+	wire_out_init(&out, WIRE_LEASE, 1);
+	wire_put_array(&out, (uint32_t)b->n);
+	for (size_t i = 0; i < b->n; i++)
+		wire_put_lease_req(&out, &b->reqs[i].req);
+	control_send(lc->ctl, m.control, &out, LEASE_TIMEOUT_MS, read_batch, b);
+}
+
+static void grant_own(struct lease_control *lc, const struct rates_request *r, uint64_t now_us)
+{
+	struct br_lease_rep rep;
+	bool ok = lc->grantor && !grant(lc, &r->req, now_us, &rep);
+
+	rates_answer(control_node(lc->ctl)->rates, r, ok ? &rep : NULL, now_us);
+}
+
+void lease_control_run(struct lease_control *lc, uint64_t now_us)
+{
+	static struct rates_request reqs[MAX_REQUESTS];
+	struct node *node = control_node(lc->ctl);
+	size_t n = rates_collect(node->rates, now_us, reqs, MAX_REQUESTS);
+
+	for (size_t i = 0; i < n; i++) {
+		struct batch *b;
+
+		if (!reqs[i].req.account[0])
+			continue;
+		if (br_node_id_equal(&reqs[i].holder.node, &node->id)) {
+			grant_own(lc, &reqs[i], now_us);
+			continue;
+		}
+		b = calloc(1, sizeof(*b));
+		if (!b)
+			abort();
+		b->lc = lc;
+		for (size_t k = i; k < n; k++) {
+			if (!reqs[k].req.account[0] ||
+			    !br_node_id_equal(&reqs[k].holder.node, &reqs[i].holder.node))
+				continue;
+			b->reqs[b->n++] = reqs[k];
+			if (k != i)
+				reqs[k].req.account[0] = '\0';
+		}
+		send_batch(lc, b);
+	}
+	if (lc->grantor && now_us - lc->tick_us > BR_US_PER_S) {
+		br_grantor_tick(lc->grantor, now_us);
+		lc->tick_us = now_us;
+	}
+}
+
+bool lease_control_handle(struct lease_control *lc, const struct wire_in *in, uint64_t token,
+			  uint64_t now_us)
+{
+	const msgpack_object *items;
+	struct br_lease_rep *reps;
+	struct br_lease_req req;
+	struct wire_out out;
+	size_t n_reps = 0;
+	uint32_t n;
+
+	if (in->n_args != 1 || !wire_get_array(&in->args[0], &items, &n) || n > MAX_REQUESTS)
+		return false;
+	reps = calloc(n + 1, sizeof(*reps));
+	if (!reps)
+		abort();
+	for (uint32_t i = 0; lc->grantor && i < n; i++)
+		if (wire_get_lease_req(&items[i], &req) && !grant(lc, &req, now_us, &reps[n_reps]))
+			n_reps++;
+	wire_out_init(&out, WIRE_LEASE_RESULT, 1);
+	wire_put_array(&out, (uint32_t)n_reps);
+	for (size_t i = 0; i < n_reps; i++)
+		wire_put_lease_rep(&out, &reps[i]);
+	free(reps);
+	control_reply(lc->ctl, token, &out);
+	return true;
+}
--- /dev/null
+++ b/tests/unit/http_client.c
@@ -0,0 +1,186 @@
+#include "briarreel/error.h"
+#include "common/clock.h"
+#include "common/http_client.h"
+#include "common/http_server.h"
+
+#include <arpa/inet.h>
+#include <civetweb.h>
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static struct http_server *srv;
+static struct http_pool *pool;
+static char address[32];
+static atomic_int asked;
+
+static void echo(struct mg_connection *conn, void *user_data)
+{
+	char *body;
+	size_t len;
+
+	(void)user_data;
+	if (strstr(mg_get_request_info(conn)->local_uri, "slow"))
+		clock_sleep_ms(350);
+	cr_assert_eq(http_server_read_body(conn, 1 << 20, &body, &len), 0);
+	http_server_reply(conn,
+			  &(struct http_reply){.status = 200, .body = body, .body_len = len});
+	free(body);
+}
+
+static bool keep_waiting(void *arg)
+{
+	(void)arg;
+	atomic_fetch_add(&asked, 1);
+	return true;
+}
+
+static bool give_up(void *arg)
+{
+	(void)arg;
+	return false;
+}
+
+static void set_up(void)
+{
+	struct http_server_config cfg = {
+		.listen = "127.0.0.1:0", .workers = 8, .keep_alive_ms = 5000};
+	struct http_pool_config pool_cfg = {.max_idle_per_peer = 4,
+					    .max_idle_ms = 2000,
+					    .connect_timeout_ms = 500,
+					    .max_body_bytes = 1 << 20};
+	struct br_error err;
+
+	srv = http_server_create(&cfg, echo, NULL, &err);
+	cr_assert(srv, "%s", err.detail);
+	pool = http_pool_create(&pool_cfg);
+	snprintf(address, sizeof(address), "127.0.0.1:%d", http_server_port(srv));
+}
+
+static void tear_down(void)
+{
+	http_pool_destroy(pool);
+	http_server_destroy(srv);
+}
+
+TestSuite(http_client, .init = set_up, .fini = tear_down, .timeout = 30);
+
+static int post(const char *target, const char *body, const struct http_wait *wait,
+		struct http_response *resp, struct br_error *err)
+{
+	struct http_request req = {
+		.method = "POST", .target = target, .body = body, .body_len = strlen(body)};
+
+	return http_pool_exchange_wait(pool, address, &req, wait, resp, err);
+}
+
+/* A slow answer on a live connection must survive several silence checks. */
+Test(http_client, waits_through_silence)
+{
+	struct http_wait wait = {.timeout_ms = 5000, .silence_ms = 100, .on_silence = keep_waiting};
+
+	for (int i = 0; i < 3; i++) {
+		struct http_response resp;
+		struct br_error err = {0};
+
+		cr_assert_eq(post("/slow", "payload", &wait, &resp, &err), 0, "%s", err.detail);
+		cr_assert_str_eq(resp.body, "payload");
+		http_response_free(&resp);
+	}
+	cr_assert_geq(atomic_load(&asked), 6);
+}
+
+/* A late answer must not be read by the next request: the connection is not used again. */
+Test(http_client, late_answer_is_not_given_to_next_request)
+{
+	struct http_wait wait = {.timeout_ms = 2000, .silence_ms = 50, .on_silence = give_up};
+	struct http_wait plain = {.timeout_ms = 2000};
+	struct http_response resp;
+	struct br_error err = {0};
+
+	cr_assert_eq(post("/slow", "first", &wait, &resp, &err), -EREMOTEIO);
+	cr_assert_eq(err.step, BR_STEP_RECEIVE);
+	clock_sleep_ms(400);
+	cr_assert_eq(post("/x", "second", &plain, &resp, &err), 0);
+	cr_assert_str_eq(resp.body, "second");
+	http_response_free(&resp);
+}
+
+Test(http_client, refused_connection_is_a_connect_error)
+{
+	struct http_request req = {.method = "GET", .target = "/"};
+	struct http_response resp;
+	struct br_error err = {0};
+
+	cr_assert_lt(http_pool_exchange(pool, "127.0.0.1:1", &req, 100, &resp, &err), 0);
+	cr_assert_eq(err.step, BR_STEP_CONNECT);
+	cr_assert_str_eq(err.peer, "127.0.0.1:1");
+}
+
+struct raw_case {
+	const char *answer;
+	int expected;
+};
+
+static const struct raw_case *raw_case;
+
+static void *serve_raw(void *arg)
+{
+	int listener = *(int *)arg;
+	char buf[4096];
+
+	/* The first connection is the client's reachability probe. */
+	for (int i = 0; i < 2; i++) {
+		int fd = accept(listener, NULL, NULL);
+
+		if (recv(fd, buf, sizeof(buf), 0) > 0 && raw_case->answer)
+			cr_assert(send(fd, raw_case->answer, strlen(raw_case->answer), 0) > 0);
+		close(fd);
+	}
+	return NULL;
+}
+
+/* Answers that are cut short, or whose length cannot be known, are not passed off as whole. */
+Test(http_client, broken_answers)
+{
+	static const struct raw_case cases[] = {
+		{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", -EBADMSG},
+		{"HTTP/1.1 200 OK\r\n\r\nabc", -EBADMSG},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", -EBADMSG},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nabc", -EMSGSIZE},
+		{"garbage\r\n\r\n", -ECONNRESET},
+		{NULL, -ECONNRESET},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", 0},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct sockaddr_in sa = {.sin_family = AF_INET,
+					 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+		socklen_t len = sizeof(sa);
+		int listener = socket(AF_INET, SOCK_STREAM, 0);
+		struct http_request req = {.method = "GET", .target = "/"};
+		struct http_response resp;
+		struct br_error err = {0};
+		pthread_t thread;
+		int ret;
+
+		raw_case = &cases[i];
+		cr_assert_eq(bind(listener, (struct sockaddr *)&sa, sizeof(sa)), 0);
+		cr_assert_eq(listen(listener, 8), 0);
+		getsockname(listener, (struct sockaddr *)&sa, &len);
+		snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(sa.sin_port));
+		pthread_create(&thread, NULL, serve_raw, &listener);
+		ret = http_pool_exchange(pool, address, &req, 10000, &resp, &err);
+		cr_assert_eq(ret, cases[i].expected, "case %zu: %d %s", i, ret, err.detail);
+		if (!ret)
+			http_response_free(&resp);
+		pthread_join(thread, NULL);
+		close(listener);
+	}
+}
