--- a/include/briarreel/bucket.h
+++ b/include/briarreel/bucket.h
@@ -35,7 +35,8 @@
 void br_bucket_destroy(struct br_bucket *b);
 
 /**
- * Sets the account's whole rate and burst and the number of slots they are split over. The bucket
+ * Sets the account's whole rate and burst and the number of slots they are split over; all are 0
+ * at first, and then the bucket admits nothing. The bucket
  * never mints or holds more than that, so a lowered rate takes effect before the leases change.
  */
 void br_bucket_set_limits(struct br_bucket *b, uint64_t rate_mtok_s, uint64_t burst_ntok,
@@ -53,11 +54,12 @@
  * tries again, so that demand counts it once. On success *valid_until_us is the time until which
  * the token is good: the caller reads the clock again and refuses the request if that time has
  * come. Returns 0; -EAGAIN if there is no token now but more has been or will be asked for (run
- * br_bucket_plan()); -EDQUOT if no holder has more.
+ * br_bucket_plan()); -EDQUOT if no holder has more. After -EAGAIN the request counts as waiting until
+ * a further try returns another value or br_bucket_wait_ended() is called.
  */
 int br_bucket_take(struct br_bucket *b, bool first, uint64_t now_us, uint64_t *valid_until_us);
 
-/** Notes that a request that got -EAGAIN is no longer waiting for a token. */
+/** Notes that a request whose last try returned -EAGAIN no longer waits for a token. */
 void br_bucket_wait_ended(struct br_bucket *b);
 
 /**
--- a/include/briarreel/grantor.h
+++ b/include/briarreel/grantor.h
@@ -62,6 +62,14 @@
 	uint32_t rate_margin_ppm;
 };
 
+/** Tokens minted at a rate in a time, at most room; exact, without overflow. */
+static inline uint64_t br_mint_ntok(uint64_t rate_mtok_s, uint64_t elapsed_us, uint64_t room)
+{
+	if (!rate_mtok_s)
+		return 0;
+	return elapsed_us > room / rate_mtok_s ? room : rate_mtok_s * elapsed_us;
+}
+
 /** Rate margin for clocks of 1% rate error. */
 #define BR_GRANTOR_RATE_MARGIN_PPM 10000
 
