Add parsing and validation of configuration records

Cause: the operators' command and each node must accept the same records. Change: table-driven reading of the six kinds. json-c silently keeps the last of repeated keys, cuts keys at an escaped NUL and takes single quotes in strict mode, so the keys are decoded and compared in the text itself. Conclusion: the config module can rely on br_record_parse().

--- /dev/null
+++ b/lib/record.c
@@ -0,0 +1,622 @@
+#include "briarreel/record.h"
+
+#include "briarreel/error.h"
+
+#include <errno.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Records are an object with at most one level of arrays; deeper nesting is never valid. */
+#define MAX_JSON_DEPTH 4
+#define MAX_INCARNATION INT64_MAX
+#define MAX_RATE_PER_S 1e9
+/* Bytes of a value or a key that messages show. */
+#define SHOWN_BYTES 32
+
+enum field_type {
+	FIELD_U32,
+	FIELD_U64,
+	FIELD_RATE,
+	FIELD_BOOL,
+	FIELD_NAME,
+	FIELD_SHA256,
+	FIELD_PREFIX,
+	FIELD_METHODS,
+	FIELD_IDENTITY,
+};
+
+/* A field of a kind; min, max and preset apply to numbers and preset also to bool. */
+struct field {
+	const char *name;
+	enum field_type type;
+	size_t offset;
+	uint32_t since_schema;
+	bool required;
+	uint64_t min;
+	uint64_t max;
+	uint64_t preset;
+};
+
+struct kind {
+	const char *name;
+	uint32_t max_schema;
+	const struct field *fields;
+	size_t n_fields;
+};
+
+/* State of one parse. */
+struct parse {
+	const char *kind;
+	const char *name;
+	struct br_error *err;
+};
+
+#define AT(member) offsetof(struct br_record, member)
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+static const struct field account_fields[] = {
+	{"rate_per_s", FIELD_RATE, AT(account.rate_mtok_s), 1, true, 0, 0, 0},
+	{"burst", FIELD_U64, AT(account.burst), 1, true, 1, 1000000000, 0},
+	{"priority", FIELD_U32, AT(account.priority), 2, false, 0, BR_PRIORITIES - 1, 0},
+	{"weight", FIELD_U32, AT(account.weight), 2, false, 1, 1000, 1},
+	{"offline_key_ttl_s", FIELD_U32, AT(account.offline_key_ttl_s), 2, false, 0, 31536000, 0},
+};
+
+static const struct field key_fields[] = {
+	{"account", FIELD_NAME, AT(key.account), 1, true, 0, 0, 0},
+	{"sha256", FIELD_SHA256, AT(key.sha256), 1, true, 0, 0, 0},
+	{"withdrawn", FIELD_BOOL, AT(key.withdrawn), 2, false, 0, 0, 0},
+};
+
+/* identity comes after idempotent, which its default depends on. */
+static const struct field route_fields[] = {
+	{"service", FIELD_NAME, AT(route.service), 1, true, 0, 0, 0},
+	{"path_prefix", FIELD_PREFIX, AT(route.path_prefix), 1, true, 0, 0, 0},
+	{"methods", FIELD_METHODS, AT(route.methods), 1, true, 0, 0, 0},
+	{"idempotent", FIELD_BOOL, AT(route.idempotent), 1, true, 0, 0, 0},
+	{"open", FIELD_BOOL, AT(route.open), 1, true, 0, 0, 0},
+	{"priority", FIELD_U32, AT(route.priority), 2, false, 0, BR_PRIORITIES - 1, 4},
+	{"retry_limit", FIELD_U32, AT(route.retry_limit), 2, false, 0, 8, 2},
+	{"timeout_ms", FIELD_U32, AT(route.timeout_ms), 2, false, 1, 25000, 5000},
+	{"identity", FIELD_IDENTITY, AT(route.identity_required), 2, false, 0, 0, 0},
+};
+
+static const struct field zone_fields[] = {
+	{"region", FIELD_NAME, AT(zone.region), 1, true, 0, 0, 0},
+};
+
+static const struct field mesh_fields[] = {
+	{"share_slots", FIELD_U32, AT(mesh.share_slots), 1, false, 1, 256, 24},
+	{"lease_term_ms", FIELD_U32, AT(mesh.lease_term_ms), 1, false, 500, 60000, 4000},
+	{"autonomy_s", FIELD_U32, AT(mesh.autonomy_s), 1, false, 10, 86400, 3600},
+	{"dedupe_window_s", FIELD_U32, AT(mesh.dedupe_window_s), 1, false, 5, 3600, 120},
+};
+
+static const struct field retired_fields[] = {
+	{"incarnation", FIELD_U64, AT(retired.incarnation), 1, true, 1, MAX_INCARNATION, 0},
+};
+
+static const struct kind kinds[BR_RECORD_KINDS] = {
+	[BR_RECORD_ACCOUNT] = {"account", 2, account_fields, COUNT(account_fields)},
+	[BR_RECORD_KEY] = {"key", 2, key_fields, COUNT(key_fields)},
+	[BR_RECORD_ROUTE] = {"route", 2, route_fields, COUNT(route_fields)},
+	[BR_RECORD_ZONE] = {"zone", 1, zone_fields, COUNT(zone_fields)},
+	[BR_RECORD_MESH] = {"mesh", 1, mesh_fields, COUNT(mesh_fields)},
+	[BR_RECORD_RETIRED] = {"retired", 1, retired_fields, COUNT(retired_fields)},
+};
+
+static const struct {
+	const char *name;
+	enum br_method bit;
+} methods[] = {
+	{"GET", BR_METHOD_GET},		{"HEAD", BR_METHOD_HEAD},
+	{"POST", BR_METHOD_POST},	{"PUT", BR_METHOD_PUT},
+	{"DELETE", BR_METHOD_DELETE},	{"PATCH", BR_METHOD_PATCH},
+	{"OPTIONS", BR_METHOD_OPTIONS},
+};
+
+const char *br_record_kind_name(enum br_record_kind kind)
+{
+	return (unsigned int)kind < BR_RECORD_KINDS ? kinds[kind].name : "unknown";
+}
+
+bool br_record_kind_parse(const char *text, enum br_record_kind *kind)
+{
+	for (size_t i = 0; i < BR_RECORD_KINDS; i++) {
+		if (strcmp(kinds[i].name, text) != 0)
+			continue;
+		*kind = (enum br_record_kind)i;
+		return true;
+	}
+	return false;
+}
+
+static bool name_valid(const char *text, size_t len)
+{
+	static const char allowed[] = "abcdefghijklmnopqrstuvwxyz0123456789._:-";
+
+	/* A NUL inside the text ends the span early, so it is refused too. */
+	return len > 0 && len < BR_NAME_BYTES && strspn(text, allowed) == len;
+}
+
+bool br_record_name_valid(const char *text)
+{
+	return name_valid(text, strlen(text));
+}
+
+uint32_t br_method_parse(const char *text)
+{
+	for (size_t i = 0; i < COUNT(methods); i++)
+		if (strcmp(methods[i].name, text) == 0)
+			return methods[i].bit;
+	return 0;
+}
+
+void br_mesh_defaults(struct br_mesh *mesh)
+{
+	struct br_record record = {.kind = BR_RECORD_MESH};
+
+	for (size_t i = 0; i < COUNT(mesh_fields); i++) {
+		uint32_t preset = (uint32_t)mesh_fields[i].preset;
+
+		memcpy((char *)&record + mesh_fields[i].offset, &preset, sizeof(preset));
+	}
+	*mesh = record.mesh;
+}
+
+/* Copies text for a message: cut to SHOWN_BYTES, one '?' for each byte a log cannot show. */
+static const char *shown(const char *text, char out[SHOWN_BYTES + 4])
+{
+	size_t n = 0;
+
+	for (; text[n] && n < SHOWN_BYTES; n++)
+		out[n] = text[n] >= ' ' && text[n] <= '~' ? text[n] : '?';
+	snprintf(out + n, 4, "%s", text[n] ? "..." : "");
+	return out;
+}
+
+static int refuse(const struct parse *p, const char *field, const char *value, const char *reason)
+{
+	char kind_out[SHOWN_BYTES + 4];
+	char name_out[SHOWN_BYTES + 4];
+	char field_out[SHOWN_BYTES + 4];
+	char value_out[SHOWN_BYTES + 4];
+
+	return br_error_set(p->err, -EINVAL, BR_STEP_VALIDATE, NULL, "%s/%s: %s: %s%s%s",
+			    shown(p->kind, kind_out), shown(p->name, name_out),
+			    shown(field, field_out), value ? shown(value, value_out) : "",
+			    value ? ": " : "", reason);
+}
+
+static int refuse_value(const struct parse *p, const char *field, struct json_object *value,
+			const char *reason)
+{
+	return refuse(p, field, json_object_to_json_string_ext(value, JSON_C_TO_STRING_PLAIN),
+		      reason);
+}
+
+static int read_number(const struct parse *p, const struct field *f, struct json_object *value,
+		       void *out)
+{
+	int64_t n = json_object_get_int64(value);
+	char reason[80];
+
+	if (!json_object_is_type(value, json_type_int) || n < 0 || (uint64_t)n < f->min ||
+	    (uint64_t)n > f->max) {
+		snprintf(reason, sizeof(reason), "must be a whole number from %llu to %llu",
+			 (unsigned long long)f->min, (unsigned long long)f->max);
+		return refuse_value(p, f->name, value, reason);
+	}
+	if (f->type == FIELD_U64)
+		*(uint64_t *)out = (uint64_t)n;
+	else
+		*(uint32_t *)out = (uint32_t)n;
+	return 0;
+}
+
+static int read_rate(const struct parse *p, const struct field *f, struct json_object *value,
+		     uint64_t *out)
+{
+	double rate = json_object_get_double(value);
+	bool number = json_object_is_type(value, json_type_int) ||
+		      json_object_is_type(value, json_type_double);
+
+	/* Written so that NaN, which json-c reads, fails as well. */
+	if (!number || !(rate >= 0.001 && rate <= MAX_RATE_PER_S))
+		return refuse_value(p, f->name, value, "must be a number from 0.001 to 1e9");
+	/* Rounded down to a thousandth; the addend makes up for binary fractions such as 0.29. */
+	*out = (uint64_t)(rate * BR_MTOK_PER_TOKEN + 1e-6);
+	return 0;
+}
+
+static int read_name(const struct parse *p, const struct field *f, struct json_object *value,
+		     char *out)
+{
+	if (!json_object_is_type(value, json_type_string) ||
+	    !name_valid(json_object_get_string(value),
+			(size_t)json_object_get_string_len(value)))
+		return refuse_value(p, f->name, value, "must be a name [a-z0-9._:-]{1,63}");
+	br_copy_text(out, BR_NAME_BYTES, json_object_get_string(value));
+	return 0;
+}
+
+static int hex_digit(char c)
+{
+	if (c >= '0' && c <= '9')
+		return c - '0';
+	if (c >= 'a' && c <= 'f')
+		return c - 'a' + 10;
+	if (c >= 'A' && c <= 'F')
+		return c - 'A' + 10;
+	return -1;
+}
+
+static int read_sha256(const struct parse *p, const struct field *f, struct json_object *value,
+		       uint8_t *out)
+{
+	static const char reason[] = "must be 64 hexadecimal digits";
+	const char *text;
+
+	if (!json_object_is_type(value, json_type_string) ||
+	    json_object_get_string_len(value) != 2 * BR_SHA256_BYTES)
+		return refuse_value(p, f->name, value, reason);
+	text = json_object_get_string(value);
+	for (size_t i = 0; i < BR_SHA256_BYTES; i++) {
+		int high = hex_digit(text[2 * i]);
+		int low = hex_digit(text[2 * i + 1]);
+
+		if (high < 0 || low < 0)
+			return refuse_value(p, f->name, value, reason);
+		out[i] = (uint8_t)(high << 4 | low);
+	}
+	return 0;
+}
+
+/* True if text has an empty, "." or ".." segment, which no request path can match as meant. */
+static bool has_odd_segment(const char *text)
+{
+	while (*text == '/') {
+		size_t len = strcspn(++text, "/");
+
+		if (!len || (len == 1 && text[0] == '.') ||
+		    (len == 2 && text[0] == '.' && text[1] == '.'))
+			return true;
+		text += len;
+	}
+	return false;
+}
+
+static int read_prefix(const struct parse *p, const struct field *f, struct json_object *value,
+		       char *out)
+{
+	const char *text = json_object_get_string(value);
+	size_t len = (size_t)json_object_get_string_len(value);
+
+	if (!json_object_is_type(value, json_type_string) || len >= BR_PATH_PREFIX_BYTES ||
+	    text[0] != '/')
+		return refuse_value(p, f->name, value, "must start with / and be below 256 bytes");
+	for (size_t i = 0; i < len; i++)
+		if (text[i] <= ' ' || text[i] > '~' || strchr("?#%", text[i]))
+			return refuse_value(p, f->name, value,
+					    "must be printable ASCII without space, ?, # and %");
+	if (len > 1 && has_odd_segment(text))
+		return refuse_value(p, f->name, value,
+				    "must not end with / or have empty, . or .. segments");
+	br_copy_text(out, BR_PATH_PREFIX_BYTES, text);
+	return 0;
+}
+
+static int read_methods(const struct parse *p, const struct field *f, struct json_object *value,
+			uint32_t *out)
+{
+	uint32_t bits = 0;
+
+	if (!json_object_is_type(value, json_type_array) || !json_object_array_length(value))
+		return refuse_value(p, f->name, value, "must be a list of methods, not empty");
+	for (size_t i = 0; i < json_object_array_length(value); i++) {
+		struct json_object *item = json_object_array_get_idx(value, i);
+		uint32_t bit = 0;
+
+		if (json_object_is_type(item, json_type_string) &&
+		    strlen(json_object_get_string(item)) ==
+			    (size_t)json_object_get_string_len(item))
+			bit = br_method_parse(json_object_get_string(item));
+		if (!bit)
+			return refuse_value(p, f->name, item,
+					    "must be GET, HEAD, POST, PUT, DELETE, PATCH, OPTIONS");
+		if (bits & bit)
+			return refuse_value(p, f->name, item, "method is repeated");
+		bits |= bit;
+	}
+	*out = bits;
+	return 0;
+}
+
+static int read_identity(const struct parse *p, const struct field *f, struct json_object *value,
+			 bool *out)
+{
+	const char *text = json_object_get_string(value);
+
+	if (json_object_is_type(value, json_type_string)) {
+		*out = strcmp(text, "required") == 0;
+		if (*out || strcmp(text, "optional") == 0)
+			return 0;
+	}
+	return refuse_value(p, f->name, value, "must be \"required\" or \"optional\"");
+}
+
+static int read_field(const struct parse *p, const struct field *f, struct json_object *value,
+		      struct br_record *record)
+{
+	void *out = (char *)record + f->offset;
+
+	switch (f->type) {
+	case FIELD_U32:
+	case FIELD_U64:
+		return read_number(p, f, value, out);
+	case FIELD_RATE:
+		return read_rate(p, f, value, out);
+	case FIELD_BOOL:
+		if (!json_object_is_type(value, json_type_boolean))
+			return refuse_value(p, f->name, value, "must be true or false");
+		*(bool *)out = json_object_get_boolean(value);
+		return 0;
+	case FIELD_NAME:
+		return read_name(p, f, value, out);
+	case FIELD_SHA256:
+		return read_sha256(p, f, value, out);
+	case FIELD_PREFIX:
+		return read_prefix(p, f, value, out);
+	case FIELD_METHODS:
+		return read_methods(p, f, value, out);
+	case FIELD_IDENTITY:
+		return read_identity(p, f, value, out);
+	}
+	return -EINVAL;
+}
+
+static int use_preset(const struct parse *p, const struct field *f, struct br_record *record)
+{
+	void *out = (char *)record + f->offset;
+
+	if (f->required)
+		return refuse(p, f->name, NULL, "field is missing");
+	if (f->type == FIELD_U32)
+		*(uint32_t *)out = (uint32_t)f->preset;
+	else if (f->type == FIELD_IDENTITY)
+		*(bool *)out = !record->route.idempotent;
+	else
+		*(bool *)out = f->preset != 0;
+	return 0;
+}
+
+static const struct field *find_field(const struct kind *kind, uint32_t schema, const char *name)
+{
+	for (size_t i = 0; i < kind->n_fields; i++)
+		if (kind->fields[i].since_schema <= schema &&
+		    strcmp(kind->fields[i].name, name) == 0)
+			return &kind->fields[i];
+	return NULL;
+}
+
+static int read_schema(const struct parse *p, const struct kind *kind, struct json_object *root,
+		       struct br_record *record)
+{
+	struct json_object *value;
+	int64_t schema;
+
+	if (!json_object_object_get_ex(root, "schema", &value))
+		return refuse(p, "schema", NULL, "field is missing");
+	schema = json_object_get_int64(value);
+	if (!json_object_is_type(value, json_type_int) || schema < 1 || schema > kind->max_schema)
+		return refuse_value(p, "schema", value, "unknown schema version for this kind");
+	record->schema = (uint32_t)schema;
+	return 0;
+}
+
+static int read_write_id(const struct parse *p, struct json_object *root, struct br_record *record)
+{
+	struct json_object *value;
+	const char *text;
+	size_t len;
+
+	if (!json_object_object_get_ex(root, "write_id", &value))
+		return 0;
+	text = json_object_get_string(value);
+	len = (size_t)json_object_get_string_len(value);
+	if (!json_object_is_type(value, json_type_string) || !len || len >= BR_NAME_BYTES)
+		return refuse_value(p, "write_id", value, "must be a text of 1 to 63 bytes");
+	for (size_t i = 0; i < len; i++)
+		if (text[i] <= ' ' || text[i] > '~')
+			return refuse_value(p, "write_id", value, "must be printable ASCII");
+	br_copy_text(record->write_id, sizeof(record->write_id), text);
+	return 0;
+}
+
+static int read_object(const struct parse *p, const struct kind *kind, struct json_object *root,
+		       struct br_record *record)
+{
+	int ret = read_schema(p, kind, root, record);
+
+	if (ret)
+		return ret;
+	ret = read_write_id(p, root, record);
+	if (ret)
+		return ret;
+	json_object_object_foreach(root, field_name, field_value)
+	{
+		if (strcmp(field_name, "schema") != 0 && strcmp(field_name, "write_id") != 0 &&
+		    !find_field(kind, record->schema, field_name))
+			return refuse_value(p, field_name, field_value, "unknown field");
+	}
+	for (size_t i = 0; i < kind->n_fields; i++) {
+		const struct field *f = &kind->fields[i];
+		struct json_object *value;
+
+		if (json_object_object_get_ex(root, f->name, &value))
+			ret = read_field(p, f, value, record);
+		else
+			ret = use_preset(p, f, record);
+		if (ret)
+			return ret;
+	}
+	return 0;
+}
+
+static const char *end_of_string(const char *text, const char *end)
+{
+	for (text++; text < end && *text != '"'; text++)
+		if (*text == '\\')
+			text++;
+	return text < end ? text + 1 : end;
+}
+
+/*
+ * Checks one key of the outermost object, given with its quotes. json-c silently keeps the last of
+ * repeated keys and cuts keys at an escaped NUL, so keys are decoded and compared here.
+ */
+static int check_key(const struct parse *p, const char *text, size_t len, struct json_object *seen)
+{
+	struct json_tokener *tok = json_tokener_new();
+	struct json_object *key = tok ? json_tokener_parse_ex(tok, text, (int)len) : NULL;
+	const char *name = key ? json_object_get_string(key) : "";
+	int ret = 0;
+
+	if (!key)
+		ret = br_error_set(p->err, -ENOMEM, BR_STEP_PARSE, NULL, "out of memory");
+	else if (strlen(name) != (size_t)json_object_get_string_len(key))
+		ret = refuse(p, name, NULL, "unknown field");
+	else if (json_object_object_get_ex(seen, name, NULL))
+		ret = refuse(p, name, NULL, "field is repeated");
+	else if (json_object_object_add(seen, name, NULL) < 0)
+		ret = br_error_set(p->err, -ENOMEM, BR_STEP_PARSE, NULL, "out of memory");
+	json_object_put(key);
+	json_tokener_free(tok);
+	return ret;
+}
+
+/*
+ * Checks the keys of the outermost object of a text that json-c has read. json-c takes strings in
+ * single quotes even in its strict mode; keys in them would escape the comparison.
+ */
+static int check_keys(const struct parse *p, const char *text, size_t len)
+{
+	struct json_object *seen = json_object_new_object();
+	const char *end = text + len;
+	int depth = 0;
+	int ret = 0;
+
+	if (!seen)
+		return br_error_set(p->err, -ENOMEM, BR_STEP_PARSE, NULL, "out of memory");
+	for (const char *at = text; at < end && !ret;) {
+		const char *start = at;
+
+		if (*at == '{' || *at == '[')
+			depth++;
+		if (*at == '}' || *at == ']')
+			depth--;
+		if (*at == '\'' || *at == '/')
+			ret = refuse(p, "value", NULL, "must be one JSON object");
+		if (*at != '"') {
+			at++;
+			continue;
+		}
+		at = end_of_string(at, end);
+		while (at < end && strchr(" \t\r\n", *at))
+			at++;
+		if (at < end && *at == ':' && depth == 1)
+			ret = check_key(p, start, (size_t)(end_of_string(start, end) - start),
+					seen);
+	}
+	json_object_put(seen);
+	return ret;
+}
+
+static int parse_text(const struct parse *p, const struct kind *kind, const char *value, size_t len,
+		      struct br_record *record)
+{
+	struct json_tokener *tok = json_tokener_new_ex(MAX_JSON_DEPTH);
+	struct json_object *root = NULL;
+	size_t used = 0;
+	int ret;
+
+	if (!tok)
+		return br_error_set(p->err, -ENOMEM, BR_STEP_PARSE, NULL, "out of memory");
+	json_tokener_set_flags(tok, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+	if (len && !memchr(value, '\0', len))
+		root = json_tokener_parse_ex(tok, value, (int)len);
+	if (root)
+		used = json_tokener_get_parse_end(tok);
+	while (used < len && strchr(" \t\r\n", value[used]))
+		used++;
+	if (!root || used != len || !json_object_is_type(root, json_type_object))
+		ret = refuse(p, "value", NULL, "must be one JSON object");
+	else
+		ret = check_keys(p, value, len);
+	if (!ret)
+		ret = read_object(p, kind, root, record);
+	json_object_put(root);
+	json_tokener_free(tok);
+	return ret;
+}
+
+/* A retired record is named by the id of a node, "ip:port". */
+static bool is_node_id(const char *name)
+{
+	const char *colon = strrchr(name, ':');
+	char *end;
+	long port;
+
+	if (!colon || colon == name || strlen(name) >= BR_NODE_ID_BYTES || colon[1] < '0' ||
+	    colon[1] > '9')
+		return false;
+	port = strtol(colon + 1, &end, 10);
+	return !*end && port > 0 && port <= 65535;
+}
+
+static int check_name(const struct parse *p, enum br_record_kind kind)
+{
+	if (!br_record_name_valid(p->name))
+		return refuse(p, "name", p->name, "must match [a-z0-9._:-]{1,63}");
+	if (kind == BR_RECORD_MESH && strcmp(p->name, "default") != 0)
+		return refuse(p, "name", p->name, "must be default");
+	if (kind == BR_RECORD_RETIRED && !is_node_id(p->name))
+		return refuse(p, "name", p->name, "must be a node id, ip:port");
+	return 0;
+}
+
+int br_record_parse(const char *kind, const char *name, const char *value, size_t len,
+		    struct br_record *out, struct br_error *err)
+{
+	const struct parse p = {.kind = kind, .name = name, .err = err};
+	struct br_record record = {0};
+	char bytes[32];
+	int ret;
+
+	if (!br_record_kind_parse(kind, &record.kind))
+		return refuse(&p, "kind", kind, "unknown kind");
+	ret = check_name(&p, record.kind);
+	if (ret)
+		return ret;
+	if (len > BR_RECORD_MAX_BYTES) {
+		snprintf(bytes, sizeof(bytes), "%zu bytes", len);
+		refuse(&p, "value", bytes, "must be at most 65536 bytes");
+		if (err)
+			err->code = -E2BIG;
+		return -E2BIG;
+	}
+	br_copy_text(record.name, sizeof(record.name), name);
+	ret = parse_text(&p, &kinds[record.kind], value, len, &record);
+	if (!ret)
+		*out = record;
+	return ret;
+}
+
+int br_record_validate(const char *kind, const char *name, const char *json, struct br_error *err)
+{
+	struct br_record record;
+
+	return br_record_parse(kind, name, json, strlen(json), &record, err);
+}
