--- a/include/briarreel/view.h
+++ b/include/briarreel/view.h
@@ -64,6 +64,12 @@
  */
 struct br_view *br_view_build(struct br_record_ref *const *records, size_t n, uint64_t watermark);
 
+/**
+ * For the config module: raises the watermark of a view whose records are also those at the new
+ * watermark, which saves a rebuild for each revision of keys outside the configuration.
+ */
+void br_view_set_watermark(struct br_view *view, uint64_t watermark);
+
 /** For the config module: a reference-counted record; NULL if out of memory. */
 struct br_record_ref *br_record_ref_create(const struct br_record *record);
 const struct br_record *br_record_ref_record(const struct br_record_ref *ref);
