--- a/lib/membership_probe.c
+++ b/lib/membership_probe.c
@@ -135,8 +135,7 @@
 	if (!member)
 		return;
 	add_action(list, &member->ref->entry, NULL);
-	set_probe(m, member, PROBE_DIRECT,
-		  now_us + m->settings.probe_timeout_ms * BR_US_PER_MS);
+	set_probe(m, member, PROBE_DIRECT, now_us + m->settings.probe_timeout_ms * BR_US_PER_MS);
 }
 
 static void start_probes(struct br_members *m, struct action_list *list, uint64_t now_us)
--- a/lib/record.c
+++ b/lib/record.c
@@ -111,9 +111,8 @@
 	const char *name;
 	enum br_method bit;
 } methods[] = {
-	{"GET", BR_METHOD_GET},		{"HEAD", BR_METHOD_HEAD},
-	{"POST", BR_METHOD_POST},	{"PUT", BR_METHOD_PUT},
-	{"DELETE", BR_METHOD_DELETE},	{"PATCH", BR_METHOD_PATCH},
+	{"GET", BR_METHOD_GET},		{"HEAD", BR_METHOD_HEAD},     {"POST", BR_METHOD_POST},
+	{"PUT", BR_METHOD_PUT},		{"DELETE", BR_METHOD_DELETE}, {"PATCH", BR_METHOD_PATCH},
 	{"OPTIONS", BR_METHOD_OPTIONS},
 };
 
@@ -235,8 +234,7 @@
 		     char *out)
 {
 	if (!json_object_is_type(value, json_type_string) ||
-	    !name_valid(json_object_get_string(value),
-			(size_t)json_object_get_string_len(value)))
+	    !name_valid(json_object_get_string(value), (size_t)json_object_get_string_len(value)))
 		return refuse_value(p, f->name, value, "must be a name [a-z0-9._:-]{1,63}");
 	br_copy_text(out, BR_NAME_BYTES, json_object_get_string(value));
 	return 0;
--- a/lib/view.c
+++ b/lib/view.c
@@ -84,8 +84,8 @@
 
 	if (!account && !key->key.withdrawn)
 		return;
-	while (v->keys[i].key && memcmp(v->keys[i].key->key.sha256, key->key.sha256,
-					BR_SHA256_BYTES) != 0)
+	while (v->keys[i].key &&
+	       memcmp(v->keys[i].key->key.sha256, key->key.sha256, BR_SHA256_BYTES) != 0)
 		i = (i + 1) & v->key_mask;
 	if (!v->keys[i].key) {
 		v->keys[i].key = key;
@@ -314,8 +314,7 @@
 	return &view->mesh;
 }
 
-bool br_view_retired(const struct br_view *view, const struct br_node_id *id,
-		     uint64_t *incarnation)
+bool br_view_retired(const struct br_view *view, const struct br_node_id *id, uint64_t *incarnation)
 {
 	const struct br_record *record = find_name(view, BR_RECORD_RETIRED, id->text);
 
@@ -324,8 +323,8 @@
 	return record != NULL;
 }
 
-const struct br_record *const *br_view_records(const struct br_view *view,
-					       enum br_record_kind kind, size_t *n)
+const struct br_record *const *br_view_records(const struct br_view *view, enum br_record_kind kind,
+					       size_t *n)
 {
 	*n = view->kinds[kind].n;
 	return view->kinds[kind].first;
--- a/tests/unit/record.c
+++ b/tests/unit/record.c
@@ -1,5 +1,5 @@
-#include "briarreel/error.h"
 #include "briarreel/record.h"
+#include "briarreel/error.h"
 
 #include <criterion/criterion.h>
 #include <errno.h>
@@ -76,8 +76,8 @@
 	br_record_parse("key", "k", valid[2].json, strlen(valid[2].json), &r, NULL);
 	cr_assert(!r.key.withdrawn && r.key.sha256[0] == 0x01 && r.key.sha256[31] == 0xef);
 	br_record_parse("route", "r", valid[4].json, strlen(valid[4].json), &r, NULL);
-	cr_assert(r.route.priority == 4 && r.route.retry_limit == 2 &&
-		  r.route.timeout_ms == 5000 && r.route.identity_required && !r.route.idempotent);
+	cr_assert(r.route.priority == 4 && r.route.retry_limit == 2 && r.route.timeout_ms == 5000 &&
+		  r.route.identity_required && !r.route.idempotent);
 	br_record_parse("route", "r", valid[5].json, strlen(valid[5].json), &r, NULL);
 	cr_assert(r.route.open && !r.route.identity_required);
 	br_record_parse("mesh", "default", valid[7].json, strlen(valid[7].json), &r, NULL);
@@ -187,12 +187,20 @@
 	const char *expected;
 };
 
-#define ACCOUNT(rate, rest) {"account", "a", "{\"schema\":2,\"rate_per_s\":" rate rest "}"}
-#define ROUTE_OF(prefix, verbs, rest)                                                   \
-	{"route", "r",                                                                  \
-	 "{\"schema\":2,\"service\":\"s\",\"path_prefix\":" prefix ",\"methods\":" verbs \
-	 ",\"idempotent\":true,\"open\":false" rest "}"}
-#define OTHER(kind, name, fields) {kind, name, "{\"schema\":1," fields "}"}
+#define ACCOUNT(rate, rest)                                                   \
+	{                                                                     \
+		"account", "a", "{\"schema\":2,\"rate_per_s\":" rate rest "}" \
+	}
+#define ROUTE_OF(prefix, verbs, rest)                                                        \
+	{                                                                                    \
+		"route", "r",                                                                \
+			"{\"schema\":2,\"service\":\"s\",\"path_prefix\":" prefix            \
+			",\"methods\":" verbs ",\"idempotent\":true,\"open\":false" rest "}" \
+	}
+#define OTHER(kind, name, fields)                       \
+	{                                               \
+		kind, name, "{\"schema\":1," fields "}" \
+	}
 
 static const struct fault faults[] = {
 	{{"user", "a", "{}"}, "user/a: kind: user: unknown kind"},
@@ -221,8 +229,7 @@
 	{OTHER("key", "k", "\"account\":\"a\\u0000b\",\"sha256\":\"" SHA "\""), "must be a name"},
 	{OTHER("key", "k", "\"account\":\"a\",\"sha256\":\"" SHA "\",\"withdrawn\":true"),
 	 "withdrawn: true: unknown field"},
-	{{"key", "k",
-	  "{\"schema\":2,\"account\":\"a\",\"sha256\":\"" SHA "\",\"withdrawn\":1}"},
+	{{"key", "k", "{\"schema\":2,\"account\":\"a\",\"sha256\":\"" SHA "\",\"withdrawn\":1}"},
 	 "must be true or false"},
 	{ROUTE_OF("\"a\"", "[\"GET\"]", ""), "must start with /"},
 	{ROUTE_OF("7", "[\"GET\"]", ""), "must start with /"},
@@ -252,9 +259,8 @@
 Test(record, refuses_malformed_values)
 {
 	for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++)
-		expect_refused(faults[i].sample.kind, faults[i].sample.name,
-			       faults[i].sample.json, strlen(faults[i].sample.json),
-			       faults[i].expected);
+		expect_refused(faults[i].sample.kind, faults[i].sample.name, faults[i].sample.json,
+			       strlen(faults[i].sample.json), faults[i].expected);
 }
 
 /* A NUL byte must not hide what follows it from the check. */
