Add first sources of the overload modules

Cause: the daemon needs something to link against. Conclusion: the interfaces link; limiter and admission policy are not final.

--- /dev/null
+++ b/lib/admission.c
@@ -0,0 +1,349 @@
+#include "briarreel/admission.h"
+
+#include "admission_internal.h"
+
+#include <stdlib.h>
+
+#define ACCOUNTS_DEFAULT 256
+#define OVERLOAD_DELAY_US (5 * BR_US_PER_MS)
+/* While overloaded, admit this part of the last window's admitted arrivals; else the other. */
+#define THRESHOLD_DOWN 0.95
+#define THRESHOLD_UP 1.01
+/* Levels per window; from the lowest threshold to the highest takes 1.4 s. */
+#define THRESHOLD_STEP 8
+/* Windows that are made up for after a pause; the averages have decayed by then. */
+#define WINDOWS_MAX 64
+
+struct br_admission *br_admission_create(const struct br_admission_cfg *cfg)
+{
+	struct br_admission *a;
+
+	if (!cfg->limit || !cfg->queue_max || !cfg->drop)
+		return NULL;
+	a = calloc(1, sizeof(*a));
+	if (!a)
+		return NULL;
+	a->cfg = *cfg;
+	if (!a->cfg.accounts_max)
+		a->cfg.accounts_max = ACCOUNTS_DEFAULT;
+	a->limit = cfg->limit;
+	a->threshold = BR_THRESHOLD_MAX;
+	a->min_delay_us = UINT64_MAX;
+	a->heap = calloc(cfg->queue_max, sizeof(struct br_admission_entry *));
+	if (!a->heap || br_accounts_init(&a->accounts, a->cfg.accounts_max)) {
+		br_admission_destroy(a);
+		return NULL;
+	}
+	return a;
+}
+
+void br_admission_destroy(struct br_admission *a)
+{
+	if (!a)
+		return;
+	BR_INVARIANT(a->queued == 0);
+	br_accounts_free(&a->accounts);
+	free(a->heap);
+	free(a);
+}
+
+static void leave(struct br_admission_entry *e)
+{
+	BR_INVARIANT(e->state != BR_ENTRY_GONE && e->owner->refs > 0);
+	e->state = BR_ENTRY_GONE;
+	e->owner->refs--;
+}
+
+static void drop(struct br_admission *a, struct br_admission_entry *e,
+		 enum br_admission_reason reason)
+{
+	br_queue_remove(a, e);
+	leave(e);
+	e->reason = reason;
+	a->counters.dropped[reason]++;
+	a->cfg.drop(a->cfg.drop_ctx, e, reason);
+}
+
+static enum br_admission_result refuse(struct br_admission *a, struct br_admission_entry *e,
+				       enum br_admission_reason reason)
+{
+	leave(e);
+	e->reason = reason;
+	a->counters.dropped[reason]++;
+	return BR_ADMISSION_REFUSED;
+}
+
+static void adjust_threshold(struct br_admission *a)
+{
+	double admitted = 0, target;
+
+	for (uint32_t i = 0; i <= a->threshold; i++)
+		admitted += a->arrivals[i];
+	if (a->overloaded) {
+		target = admitted * THRESHOLD_DOWN;
+		while (a->threshold > BR_THRESHOLD_MIN && admitted > target)
+			admitted -= a->arrivals[a->threshold--];
+	} else {
+		target = admitted * THRESHOLD_UP;
+		for (int i = 0; i < THRESHOLD_STEP && a->threshold < BR_THRESHOLD_MAX; i++) {
+			admitted += a->arrivals[++a->threshold];
+			if (admitted > target)
+				break;
+		}
+	}
+	BR_INVARIANT(a->threshold >= BR_THRESHOLD_MIN && a->threshold <= BR_THRESHOLD_MAX);
+}
+
+/* The delay is the age of the oldest entry: the order of service does not change it. */
+static void observe_delay(struct br_admission *a, uint64_t now_us)
+{
+	uint64_t delay = a->oldest ? now_us - a->oldest->arrived_us : 0;
+
+	if (delay < a->min_delay_us)
+		a->min_delay_us = delay;
+}
+
+static void close_window(struct br_admission *a)
+{
+	a->overloaded = a->min_delay_us > OVERLOAD_DELAY_US && a->min_delay_us != UINT64_MAX;
+	adjust_threshold(a);
+	for (int i = 0; i < BR_LEVELS; i++)
+		a->arrivals[i] = 0;
+	br_accounts_roll(&a->accounts);
+	a->min_delay_us = UINT64_MAX;
+}
+
+static void roll(struct br_admission *a, uint64_t now_us)
+{
+	uint64_t windows;
+
+	if (!a->window_start_us)
+		a->window_start_us = now_us;
+	windows = (now_us - a->window_start_us) / BR_ADMISSION_WINDOW_US;
+	a->window_start_us += windows * BR_ADMISSION_WINDOW_US;
+	if (windows > WINDOWS_MAX)
+		windows = WINDOWS_MAX;
+	while (windows-- > 0) {
+		observe_delay(a, now_us);
+		close_window(a);
+	}
+}
+
+/*
+ * Time below which a started request would very likely miss its deadline. Half the account's mean
+ * leaves room for its shorter requests; without overload the slot would otherwise stay idle.
+ */
+static uint64_t needed_us(const struct br_admission *a, const struct br_admission_account *acct)
+{
+	return a->overloaded ? (uint64_t)(acct->service_us / 2) : 0;
+}
+
+static bool expired(const struct br_admission *a, const struct br_admission_entry *e,
+		    uint64_t now_us)
+{
+	return now_us + needed_us(a, e->owner) >= e->deadline_us;
+}
+
+/* Wait of a new entry, from what is ahead of it and the rate at which slots become free. */
+static uint64_t estimated_wait_us(const struct br_admission *a, const struct br_admission_entry *e)
+{
+	uint64_t ahead = 1, same = a->queued_of[e->priority];
+	uint64_t turns = a->n_active[e->priority];
+
+	for (int p = 0; p < e->priority; p++)
+		ahead += a->queued_of[p];
+	/* Accounts take turns, so at most the own place times the number of accounts. */
+	if (!br_queue_newest_first(a))
+		turns *= e->owner->lists[e->priority].n + 1;
+	ahead += turns < same ? turns : same;
+	return (uint64_t)((double)ahead * a->service_us / a->limit);
+}
+
+static void start(struct br_admission *a, struct br_admission_entry *e)
+{
+	e->state = BR_ENTRY_RUNNING;
+	e->charged_us = (uint64_t)(e->owner->service_us > 0 ? e->owner->service_us : a->service_us);
+	br_accounts_add_work(&a->accounts, e->owner, (double)e->charged_us);
+	a->in_flight++;
+	a->counters.started++;
+	BR_INVARIANT(a->in_flight <= a->limit);
+}
+
+static enum br_admission_result enqueue(struct br_admission *a, struct br_admission_entry *e,
+					uint64_t now_us)
+{
+	struct br_admission_entry *victim;
+
+	if (e->level > a->threshold)
+		return refuse(a, e, BR_ADMISSION_THRESHOLD);
+	if (now_us + estimated_wait_us(a, e) + needed_us(a, e->owner) >= e->deadline_us)
+		return refuse(a, e, BR_ADMISSION_LATE);
+	if (a->queued >= a->cfg.queue_max) {
+		victim = br_queue_victim(a, e);
+		if (!victim) {
+			for (int p = e->priority + 1; p < BR_PRIORITIES; p++)
+				BR_INVARIANT(a->queued_of[p] == 0);
+			return refuse(a, e, BR_ADMISSION_FULL);
+		}
+		BR_INVARIANT(victim->priority >= e->priority);
+		drop(a, victim, BR_ADMISSION_EVICTED);
+	}
+	br_queue_push(a, e);
+	return BR_ADMISSION_QUEUED;
+}
+
+static void drop_expired(struct br_admission *a, uint64_t now_us)
+{
+	while (a->queued && a->heap[0]->deadline_us <= now_us)
+		drop(a, a->heap[0], BR_ADMISSION_EXPIRED);
+}
+
+enum br_admission_result br_admission_offer(struct br_admission *a, struct br_admission_entry *e,
+					    uint64_t now_us)
+{
+	double asked;
+
+	roll(a, now_us);
+	drop_expired(a, now_us);
+	observe_delay(a, now_us);
+	if (e->priority >= BR_PRIORITIES)
+		e->priority = BR_PRIORITIES - 1;
+	e->state = BR_ENTRY_NEW;
+	e->reason = BR_ADMISSION_NONE;
+	e->arrived_us = now_us;
+	e->owner = br_accounts_get(&a->accounts, e->account);
+	e->owner->refs++;
+	asked = e->owner->service_us > 0 ? e->owner->service_us : a->service_us;
+	e->owner->demand += asked;
+	e->level = (uint8_t)(e->priority * BR_SUBLEVELS +
+			     br_accounts_sublevel(&a->accounts, e->owner));
+	a->arrivals[e->level]++;
+
+	if (e->deadline_us <= now_us)
+		return refuse(a, e, BR_ADMISSION_LATE);
+	/* The threshold bounds the queue; it leaves no slot idle. */
+	if (a->in_flight < a->limit && !a->queued) {
+		start(a, e);
+		return BR_ADMISSION_RUN;
+	}
+	return enqueue(a, e, now_us);
+}
+
+struct br_admission_entry *br_admission_next(struct br_admission *a, uint64_t now_us)
+{
+	struct br_admission_entry *e;
+
+	roll(a, now_us);
+	drop_expired(a, now_us);
+	observe_delay(a, now_us);
+	if (a->in_flight >= a->limit)
+		return NULL;
+	while ((e = br_queue_best(a)) != NULL) {
+		if (expired(a, e, now_us)) {
+			drop(a, e, BR_ADMISSION_EXPIRED);
+			continue;
+		}
+		br_queue_remove(a, e);
+		start(a, e);
+		return e;
+	}
+	return NULL;
+}
+
+static void learn_service(double *mean, uint64_t service_us)
+{
+	if (*mean <= 0)
+		*mean = (double)service_us;
+	else
+		*mean += ((double)service_us - *mean) / 16;
+}
+
+void br_admission_done(struct br_admission *a, struct br_admission_entry *e, uint64_t service_us,
+		       uint64_t now_us)
+{
+	BR_INVARIANT(e->state == BR_ENTRY_RUNNING && a->in_flight > 0);
+	roll(a, now_us);
+	a->in_flight--;
+	br_accounts_add_work(&a->accounts, e->owner, (double)service_us - (double)e->charged_us);
+	if (service_us) {
+		learn_service(&a->service_us, service_us);
+		learn_service(&e->owner->service_us, service_us);
+	}
+	leave(e);
+}
+
+bool br_admission_cancel(struct br_admission *a, struct br_admission_entry *e)
+{
+	if (e->state != BR_ENTRY_QUEUED)
+		return false;
+	br_queue_remove(a, e);
+	leave(e);
+	a->counters.cancelled++;
+	return true;
+}
+
+void br_admission_set_limit(struct br_admission *a, uint32_t limit)
+{
+	a->limit = limit ? limit : 1;
+}
+
+void br_admission_tick(struct br_admission *a, uint64_t now_us)
+{
+	roll(a, now_us);
+	drop_expired(a, now_us);
+	observe_delay(a, now_us);
+}
+
+void br_admission_drop_all(struct br_admission *a)
+{
+	while (a->queued)
+		drop(a, a->oldest, BR_ADMISSION_CLOSED);
+}
+
+uint32_t br_admission_threshold(const struct br_admission *a)
+{
+	return a->threshold;
+}
+
+bool br_admission_overloaded(const struct br_admission *a)
+{
+	return a->overloaded;
+}
+
+uint32_t br_admission_in_flight(const struct br_admission *a)
+{
+	return a->in_flight;
+}
+
+uint32_t br_admission_queued(const struct br_admission *a)
+{
+	return a->queued;
+}
+
+const struct br_admission_counters *br_admission_counters(const struct br_admission *a)
+{
+	return &a->counters;
+}
+
+const char *br_admission_reason_text(enum br_admission_reason reason)
+{
+	switch (reason) {
+	case BR_ADMISSION_NONE:
+		return "none";
+	case BR_ADMISSION_THRESHOLD:
+		return "overload: level above the admission threshold";
+	case BR_ADMISSION_FULL:
+		return "overload: queue full";
+	case BR_ADMISSION_LATE:
+		return "overload: wait would exceed the deadline";
+	case BR_ADMISSION_EVICTED:
+		return "overload: evicted by a more important request";
+	case BR_ADMISSION_EXPIRED:
+		return "deadline passed in the queue";
+	case BR_ADMISSION_CLOSED:
+		return "target closed";
+	case BR_ADMISSION_REASONS:
+		break;
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/lib/limiter.c
@@ -0,0 +1,397 @@
+#include "briarreel/limiter.h"
+
+#include <stdlib.h>
+
+/*
+ * Service times are averaged as base-2 logarithms: a slowdown by a factor shifts the mean by the
+ * same amount whatever the mix, and a few long requests move it little.
+ */
+#define CLASSES 16
+/* Samples from which a class gets or changes its baseline. */
+#define CLASS_SAMPLES 32
+#define WINDOW_US (50 * BR_US_PER_MS)
+#define WINDOW_LONG_US (500 * BR_US_PER_MS)
+#define WINDOW_SAMPLES 64
+#define WINDOW_SAMPLES_FEW 8
+/* Excess over the baseline, in log2, up to which the limit grows (5%), from which it is
+ * stepped down (15%) and from which it is cut (30%). */
+#define EXCESS_GROW 0.07
+#define EXCESS_STEP_DOWN 0.2
+#define EXCESS_CUT 0.38
+/* A window this far over the baseline (a factor of two) is acted on alone. */
+#define EXCESS_CUT_AT_ONCE 1.0
+#define CUT_FACTOR 0.8
+/* Cuts after which it is checked whether they shortened the service times at all. */
+#define CUTS_BEFORE_CHECK 2
+#define FAST_GROWTH 1.25
+#define STEP_UP 0.03
+#define STEP_DOWN 0.04
+/* Weight of a window in the smoothed excess that decides on the steps. */
+#define SMOOTHING 0.2
+/*
+ * An excess at or below the limit at which the reference was measured is no effect of concurrency:
+ * the reference is wrong, or the target is slow. It is then taken into the reference with this
+ * weight per window, so that neither noise nor a lasting slowdown holds the limit down.
+ */
+#define LEAK 0.2
+/* A smoothed excess this far below the reference lowers the reference. */
+#define EXCESS_BELOW (-0.15)
+/*
+ * While the limit is always in use, every sample includes some congestion and the reference would
+ * creep up. A short phase at a smaller limit measures it without.
+ */
+#define PROBE_FIRST_US (2 * BR_US_PER_S)
+#define PROBE_INTERVAL_US (6 * BR_US_PER_S)
+#define PROBE_SAMPLES 128
+#define PROBE_MAX_US (600 * BR_US_PER_MS)
+#define PROBE_FACTOR 0.75
+#define PROBE_WEIGHT 0.5
+
+/** Count, sum and sum of squares of a window. */
+struct moments {
+	uint32_t n;
+	double sum;
+	double squares;
+};
+
+struct class
+{
+	struct moments window;
+	bool known;
+	double baseline;
+};
+
+struct br_limiter {
+	uint32_t start, min, max, hint;
+	double limit;
+	/** Mean limit of good windows; growth up to it is fast after a cut. */
+	double good_limit;
+	/** Reference: excess without congestion, and the limit at which it was measured. */
+	double clean, clean_limit;
+	bool cold;
+	uint32_t peak_in_flight;
+	uint32_t bad_windows;
+	uint32_t cuts;
+	double first_excess, first_limit;
+	uint32_t sheds;
+	double service_us, smoothed;
+	uint64_t window_start_us, hold_until_us;
+	uint64_t next_probe_us, probe_start_us;
+	bool probing, measuring;
+	uint32_t probe_samples;
+	struct moments excess;
+	struct class classes[CLASSES];
+};
+
+static void moments_add(struct moments *m, double x)
+{
+	m->n++;
+	m->sum += x;
+	m->squares += x * x;
+}
+
+/* log2 with an error below 0.01; the library does not link libm. */
+static double log2_of(uint64_t x)
+{
+	int e = 63 - __builtin_clzll(x);
+	double m = (double)x / (double)(1ULL << e) - 1;
+
+	return e + m + 0.3431 * m * (1 - m);
+}
+
+static double square_root(double x)
+{
+	double r = x > 1 ? x : 1;
+
+	/* Newton's method from above. */
+	for (int i = 0; x > 0 && i < 60; i++) {
+		double next = (r + x / r) / 2;
+
+		if (next >= r)
+			break;
+		r = next;
+	}
+	return x > 0 ? r : 0;
+}
+
+/* Standard error of the mean. */
+static double moments_error(const struct moments *m, double mean)
+{
+	double variance = m->squares / m->n - mean * mean;
+
+	return m->n > 1 ? square_root(variance / (m->n - 1)) : 1;
+}
+
+struct br_limiter *br_limiter_create(uint32_t start, uint32_t min, uint32_t max)
+{
+	struct br_limiter *l;
+
+	if (min < 1 || start < min || start > max)
+		return NULL;
+	l = calloc(1, sizeof(*l));
+	if (!l)
+		return NULL;
+	*l = (struct br_limiter){.start = start, .min = min, .max = max};
+	br_limiter_reset(l);
+	return l;
+}
+
+void br_limiter_destroy(struct br_limiter *l)
+{
+	free(l);
+}
+
+void br_limiter_reset(struct br_limiter *l)
+{
+	uint32_t hint = l->hint;
+
+	*l = (struct br_limiter){.start = l->start,
+				 .min = l->min,
+				 .max = l->max,
+				 .limit = l->start,
+				 .good_limit = l->start,
+				 .clean_limit = l->start,
+				 .cold = true};
+	br_limiter_set_hint(l, hint);
+}
+
+static void set_limit(struct br_limiter *l, double limit)
+{
+	double max = l->max;
+
+	if (l->hint && 2.0 * l->hint < max)
+		max = 2.0 * l->hint;
+	if (limit > max)
+		limit = max;
+	if (limit < l->min)
+		limit = l->min;
+	l->limit = limit;
+}
+
+void br_limiter_set_hint(struct br_limiter *l, uint32_t slots)
+{
+	l->hint = slots;
+	set_limit(l, l->limit);
+}
+
+void br_limiter_note_in_flight(struct br_limiter *l, uint32_t in_flight)
+{
+	if (in_flight > l->peak_in_flight)
+		l->peak_in_flight = in_flight;
+}
+
+uint32_t br_limiter_limit(const struct br_limiter *l)
+{
+	double limit = l->probing ? l->limit * PROBE_FACTOR : l->limit;
+
+	return limit < l->min ? l->min : (uint32_t)limit;
+}
+
+/* The first baseline of a class is the mean of its first window. */
+static void class_sample(struct class *c, double log_us)
+{
+	struct moments *w = &c->window;
+
+	moments_add(w, log_us);
+	if (c->known || w->n < CLASS_SAMPLES)
+		return;
+	c->baseline = w->sum / w->n;
+	c->known = true;
+}
+
+/* Time until the requests that run now have ended, for the most part. */
+static uint64_t settle_us(const struct br_limiter *l)
+{
+	double us = 2 * l->service_us;
+
+	return us < BR_US_PER_S / 2 ? (uint64_t)us : BR_US_PER_S / 2;
+}
+
+static void window_reset(struct br_limiter *l, uint64_t now_us)
+{
+	l->excess = (struct moments){0};
+	l->sheds = 0;
+	l->peak_in_flight = 0;
+	l->window_start_us = now_us;
+}
+
+static void cut(struct br_limiter *l, double factor, uint64_t now_us)
+{
+	set_limit(l, l->limit * factor);
+	l->cold = false;
+	l->bad_windows = 0;
+	l->smoothed = 0;
+	/* Requests that were started under the larger limit say nothing about the new one. */
+	l->hold_until_us = now_us + settle_us(l);
+}
+
+/*
+ * Cuts the limit, or takes the cuts of this episode back if the service times did not follow them:
+ * with less concurrency a target that is slow for another reason only idles.
+ */
+static void cut_for_excess(struct br_limiter *l, double excess, uint64_t now_us)
+{
+	if (l->cuts >= CUTS_BEFORE_CHECK && excess > l->first_excess - 0.15) {
+		l->clean = excess;
+		l->clean_limit = l->first_limit;
+		l->cuts = 0;
+		l->bad_windows = 0;
+		l->smoothed = 0;
+		set_limit(l, l->first_limit);
+		return;
+	}
+	if (l->cuts == 0 || l->cuts >= CUTS_BEFORE_CHECK) {
+		l->cuts = 0;
+		l->first_excess = excess;
+		l->first_limit = l->limit;
+	}
+	l->cuts++;
+	cut(l, CUT_FACTOR, now_us);
+}
+
+static void grow(struct br_limiter *l)
+{
+	l->cuts = 0;
+	if (l->peak_in_flight + 1 < (uint32_t)l->limit)
+		return;
+	if (l->cold || l->limit * FAST_GROWTH < l->good_limit)
+		set_limit(l, l->limit * FAST_GROWTH + 1);
+	else
+		set_limit(l, l->limit * (1 + STEP_UP) + 0.2);
+	l->good_limit += (l->limit - l->good_limit) / 16;
+}
+
+/* Moves the reference where the excess cannot come from concurrency. */
+static void adjust_reference(struct br_limiter *l, double excess)
+{
+	if (l->smoothed < EXCESS_BELOW) {
+		l->clean += l->smoothed;
+		l->smoothed = 0;
+		l->clean_limit = l->limit;
+	} else if (l->limit <= l->clean_limit) {
+		l->clean += (excess - l->clean) * LEAK;
+	}
+}
+
+static void window_close(struct br_limiter *l, uint64_t now_us)
+{
+	struct moments *m = &l->excess;
+	double excess = m->n ? m->sum / m->n : 0;
+	double lower = m->n ? excess - 2 * moments_error(m, excess) : 0;
+
+	if (l->sheds) {
+		cut(l, l->sheds * 10 > m->n ? 0.85 : 0.95, now_us);
+		return;
+	}
+	if (m->n < WINDOW_SAMPLES_FEW)
+		return;
+	if (lower > l->clean + EXCESS_CUT) {
+		l->bad_windows++;
+		/* One window may be an outlier of the mix. */
+		if (l->bad_windows > 1 || lower > l->clean + EXCESS_CUT_AT_ONCE)
+			cut_for_excess(l, excess, now_us);
+		return;
+	}
+	l->bad_windows = 0;
+	l->smoothed += (excess - l->clean - l->smoothed) * SMOOTHING;
+	adjust_reference(l, excess);
+	if (l->smoothed < EXCESS_GROW) {
+		grow(l);
+	} else if (l->smoothed > EXCESS_STEP_DOWN) {
+		l->cold = false;
+		set_limit(l, l->limit * (1 - STEP_DOWN));
+	}
+}
+
+static bool window_complete(const struct br_limiter *l, uint64_t now_us)
+{
+	uint64_t age = now_us - l->window_start_us;
+	uint32_t n = l->excess.n + l->sheds;
+
+	if (n >= WINDOW_SAMPLES && n >= (uint32_t)l->limit && age >= WINDOW_US)
+		return true;
+	return n >= WINDOW_SAMPLES_FEW && age >= WINDOW_LONG_US;
+}
+
+static void probe_begin(struct br_limiter *l, uint64_t now_us)
+{
+	l->probing = true;
+	l->measuring = false;
+	l->probe_start_us = now_us;
+	l->probe_samples = 0;
+}
+
+static void probe_measure(struct br_limiter *l)
+{
+	l->measuring = true;
+	for (int i = 0; i < CLASSES; i++)
+		l->classes[i].window = (struct moments){0};
+}
+
+static void probe_finish(struct br_limiter *l, uint64_t now_us)
+{
+	for (int i = 0; i < CLASSES; i++) {
+		struct class *c = &l->classes[i];
+		double mean = c->window.n ? c->window.sum / c->window.n : 0;
+
+		if (c->known && c->window.n >= CLASS_SAMPLES)
+			c->baseline += (mean - c->baseline) * PROBE_WEIGHT;
+		c->window = (struct moments){0};
+	}
+	l->clean *= 1 - PROBE_WEIGHT;
+	l->clean_limit = l->limit * PROBE_FACTOR;
+	l->probing = false;
+	l->next_probe_us = now_us + PROBE_INTERVAL_US;
+	l->hold_until_us = now_us + settle_us(l);
+}
+
+/* Starts and ends the phases at a smaller limit; true while the limiter takes no decisions. */
+static bool probe(struct br_limiter *l, uint64_t now_us)
+{
+	uint64_t measure_us;
+
+	if (!l->next_probe_us)
+		l->next_probe_us = now_us + PROBE_FIRST_US;
+	if (!l->probing && now_us >= l->next_probe_us)
+		probe_begin(l, now_us);
+	if (!l->probing)
+		return false;
+	measure_us = l->probe_start_us + settle_us(l);
+	if (!l->measuring && now_us >= measure_us)
+		probe_measure(l);
+	if (l->measuring)
+		l->probe_samples++;
+	if (l->probe_samples >= PROBE_SAMPLES || now_us >= measure_us + PROBE_MAX_US)
+		probe_finish(l, now_us);
+	return true;
+}
+
+void br_limiter_sample(struct br_limiter *l, uint32_t class, uint64_t service_us, bool shed,
+		       uint64_t now_us)
+{
+	struct class *c = &l->classes[class % CLASSES];
+	double log_us = 0;
+
+	if (!l->window_start_us)
+		window_reset(l, now_us);
+	if (!shed && !service_us)
+		return;
+	if (!shed) {
+		log_us = log2_of(service_us);
+		l->service_us += ((double)service_us - l->service_us) / 16;
+		class_sample(c, log_us);
+	}
+	if (probe(l, now_us) || now_us < l->hold_until_us) {
+		window_reset(l, now_us);
+		return;
+	}
+	if (shed)
+		l->sheds++;
+	else if (c->known)
+		moments_add(&l->excess, log_us - c->baseline);
+	if (!window_complete(l, now_us))
+		return;
+	window_close(l, now_us);
+	window_reset(l, now_us);
+	BR_INVARIANT(l->limit >= l->min && l->limit <= l->max);
+}
