--- a/lib/admission.c
+++ b/lib/admission.c
@@ -6,9 +6,9 @@
 
 #define ACCOUNTS_DEFAULT 256
 #define OVERLOAD_DELAY_US (5 * BR_US_PER_MS)
-/* While overloaded, admit this part of the last window's admitted arrivals; else the other. */
-#define THRESHOLD_DOWN 0.95
-#define THRESHOLD_UP 1.01
+/* Parts of the admitted arrivals by which the threshold goes down or up per window. */
+#define THRESHOLD_DOWN 0.05
+#define THRESHOLD_UP 0.01
 /* Levels per window; from the lowest threshold to the highest takes 1.4 s. */
 #define THRESHOLD_STEP 8
 /* Windows that are made up for after a pause; the averages have decayed by then. */
@@ -73,24 +73,41 @@
 	return BR_ADMISSION_REFUSED;
 }
 
+/*
+ * Lowers by 5% of what is admitted per window. A level that carries more is refused only after as
+ * many more windows of overload, so that one window does not refuse a whole priority.
+ */
+static void lower_threshold(struct br_admission *a, double admitted)
+{
+	a->to_refuse += admitted * THRESHOLD_DOWN;
+	while (a->threshold > BR_THRESHOLD_MIN && a->arrivals[a->threshold] <= a->to_refuse)
+		a->to_refuse -= a->arrivals[a->threshold--];
+	if (a->to_refuse > admitted)
+		a->to_refuse = admitted;
+}
+
+static void raise_threshold(struct br_admission *a, double admitted)
+{
+	double more = admitted * THRESHOLD_UP;
+
+	a->to_refuse = 0;
+	for (int i = 0; i < THRESHOLD_STEP && a->threshold < BR_THRESHOLD_MAX; i++) {
+		more -= a->arrivals[++a->threshold];
+		if (more < 0)
+			break;
+	}
+}
+
 static void adjust_threshold(struct br_admission *a)
 {
-	double admitted = 0, target;
+	double admitted = 0;
 
 	for (uint32_t i = 0; i <= a->threshold; i++)
 		admitted += a->arrivals[i];
-	if (a->overloaded) {
-		target = admitted * THRESHOLD_DOWN;
-		while (a->threshold > BR_THRESHOLD_MIN && admitted > target)
-			admitted -= a->arrivals[a->threshold--];
-	} else {
-		target = admitted * THRESHOLD_UP;
-		for (int i = 0; i < THRESHOLD_STEP && a->threshold < BR_THRESHOLD_MAX; i++) {
-			admitted += a->arrivals[++a->threshold];
-			if (admitted > target)
-				break;
-		}
-	}
+	if (a->overloaded)
+		lower_threshold(a, admitted);
+	else
+		raise_threshold(a, admitted);
 	BR_INVARIANT(a->threshold >= BR_THRESHOLD_MIN && a->threshold <= BR_THRESHOLD_MAX);
 }
 
--- a/lib/admission_internal.h
+++ b/lib/admission_internal.h
@@ -59,6 +59,8 @@
 	uint64_t min_delay_us;
 	bool overloaded;
 	uint32_t threshold;
+	/** Admitted arrivals per window that are still to be refused. */
+	double to_refuse;
 	uint32_t arrivals[BR_LEVELS];
 	struct br_admission_counters counters;
 };
--- a/lib/admission_share.c
+++ b/lib/admission_share.c
@@ -12,6 +12,8 @@
 /* Rounds to find the fair share; each fixes at least one more account below it. */
 #define FAIR_ROUNDS 8
 #define NO_SHARE 1e18
+/* Part of the work that is shared out, so that the shares together fit with some headroom. */
+#define SHARED_OUT 0.95
 
 int br_accounts_init(struct br_admission_accounts *s, uint32_t max)
 {
@@ -98,13 +100,13 @@
 /* Max-min fair share of the work done, among the accounts by what they ask for. */
 static double fair_share(const struct br_admission_accounts *s)
 {
-	double share, demand = s->overflow.demand;
+	double share, demand = s->overflow.demand, work = s->work * SHARED_OUT;
 
 	for (uint32_t i = 0; i < s->n_used; i++)
 		demand += s->used[i]->demand;
-	if (demand <= s->work || !s->n_used)
+	if (demand <= work || !s->n_used)
 		return NO_SHARE;
-	share = s->work / s->n_used;
+	share = work / s->n_used;
 	for (int round = 0; round < FAIR_ROUNDS; round++) {
 		double below = 0;
 		uint32_t above = 0;
@@ -115,9 +117,9 @@
 			else
 				below += s->used[i]->demand;
 		}
-		if (!above || below >= s->work)
+		if (!above || below >= work)
 			break;
-		share = (s->work - below) / above;
+		share = (work - below) / above;
 	}
 	return share;
 }
--- a/lib/limiter.c
+++ b/lib/limiter.c
@@ -13,10 +13,11 @@
 #define WINDOW_LONG_US (500 * BR_US_PER_MS)
 #define WINDOW_SAMPLES 64
 #define WINDOW_SAMPLES_FEW 8
-/* Excess over the baseline, in log2, up to which the limit grows (5%), from which it is
- * stepped down (15%) and from which it is cut (30%). */
-#define EXCESS_GROW 0.07
-#define EXCESS_STEP_DOWN 0.2
+/* Excess over the baseline, in log2, up to which the limit grows (7%), from which it is
+ * stepped down (19%) and from which it is cut (30%). */
+#define EXCESS_GROW 0.1
+#define EXCESS_STEP_DOWN 0.25
+#define EXCESS_GROW_COLD 0.35
 #define EXCESS_CUT 0.38
 /* A window this far over the baseline (a factor of two) is acted on alone. */
 #define EXCESS_CUT_AT_ONCE 1.0
@@ -33,7 +34,7 @@
  * the reference is wrong, or the target is slow. It is then taken into the reference with this
  * weight per window, so that neither noise nor a lasting slowdown holds the limit down.
  */
-#define LEAK 0.2
+#define LEAK 0.1
 /* A smoothed excess this far below the reference lowers the reference. */
 #define EXCESS_BELOW (-0.15)
 /*
@@ -45,6 +46,7 @@
 #define PROBE_SAMPLES 128
 #define PROBE_MAX_US (600 * BR_US_PER_MS)
 #define PROBE_FACTOR 0.75
+#define CLEAN_FACTOR 0.85
 #define PROBE_WEIGHT 0.5
 
 /** Count, sum and sum of squares of a window. */
@@ -68,6 +70,8 @@
 	double good_limit;
 	/** Reference: excess without congestion, and the limit at which it was measured. */
 	double clean, clean_limit;
+	/** The reference has changed since it was measured last. */
+	bool stale;
 	bool cold;
 	uint32_t peak_in_flight;
 	uint32_t bad_windows;
@@ -233,6 +237,7 @@
 {
 	if (l->cuts >= CUTS_BEFORE_CHECK && excess > l->first_excess - 0.15) {
 		l->clean = excess;
+		l->stale = true;
 		l->clean_limit = l->first_limit;
 		l->cuts = 0;
 		l->bad_windows = 0;
@@ -258,16 +263,21 @@
 		set_limit(l, l->limit * FAST_GROWTH + 1);
 	else
 		set_limit(l, l->limit * (1 + STEP_UP) + 0.2);
-	l->good_limit += (l->limit - l->good_limit) / 16;
 }
 
 /* Moves the reference where the excess cannot come from concurrency. */
-static void adjust_reference(struct br_limiter *l, double excess)
+static void adjust_reference(struct br_limiter *l, double excess, double error, uint64_t now_us)
 {
-	if (l->smoothed < EXCESS_BELOW) {
-		l->clean += l->smoothed;
+	bool jump = excess + 2 * error < l->clean + EXCESS_BELOW;
+
+	if (jump || l->smoothed < EXCESS_BELOW) {
+		l->clean = jump ? excess : l->clean + l->smoothed;
 		l->smoothed = 0;
 		l->clean_limit = l->limit;
+		/* The new reference may include congestion, so it is measured soon. */
+		l->stale = true;
+		if (l->next_probe_us > now_us + settle_us(l))
+			l->next_probe_us = now_us + settle_us(l);
 	} else if (l->limit <= l->clean_limit) {
 		l->clean += (excess - l->clean) * LEAK;
 	}
@@ -277,7 +287,8 @@
 {
 	struct moments *m = &l->excess;
 	double excess = m->n ? m->sum / m->n : 0;
-	double lower = m->n ? excess - 2 * moments_error(m, excess) : 0;
+	double error = m->n ? moments_error(m, excess) : 0;
+	double lower = excess - 2 * error;
 
 	if (l->sheds) {
 		cut(l, l->sheds * 10 > m->n ? 0.85 : 0.95, now_us);
@@ -294,8 +305,9 @@
 	}
 	l->bad_windows = 0;
 	l->smoothed += (excess - l->clean - l->smoothed) * SMOOTHING;
-	adjust_reference(l, excess);
-	if (l->smoothed < EXCESS_GROW) {
+	adjust_reference(l, excess, error, now_us);
+	l->good_limit += (l->limit - l->good_limit) / 16;
+	if (l->smoothed < (l->cold ? EXCESS_GROW_COLD : EXCESS_GROW)) {
 		grow(l);
 	} else if (l->smoothed > EXCESS_STEP_DOWN) {
 		l->cold = false;
@@ -330,16 +342,19 @@
 
 static void probe_finish(struct br_limiter *l, uint64_t now_us)
 {
+	double weight = l->stale ? 1 : PROBE_WEIGHT;
+
 	for (int i = 0; i < CLASSES; i++) {
 		struct class *c = &l->classes[i];
 		double mean = c->window.n ? c->window.sum / c->window.n : 0;
 
 		if (c->known && c->window.n >= CLASS_SAMPLES)
-			c->baseline += (mean - c->baseline) * PROBE_WEIGHT;
+			c->baseline += (mean - c->baseline) * weight;
 		c->window = (struct moments){0};
 	}
-	l->clean *= 1 - PROBE_WEIGHT;
-	l->clean_limit = l->limit * PROBE_FACTOR;
+	l->clean *= 1 - weight;
+	l->stale = false;
+	l->clean_limit = l->limit * CLEAN_FACTOR;
 	l->probing = false;
 	l->next_probe_us = now_us + PROBE_INTERVAL_US;
 	l->hold_until_us = now_us + settle_us(l);
