--- a/lib/limiter.c
+++ b/lib/limiter.c
@@ -41,7 +41,8 @@
  * While the limit is always in use, every sample includes some congestion and the reference would
  * creep up. A short phase at a smaller limit measures it without.
  */
-#define PROBE_FIRST_US (2 * BR_US_PER_S)
+/* The interval doubles from the first to the longest: early baselines have few samples. */
+#define PROBE_FIRST_US (1 * BR_US_PER_S)
 #define PROBE_INTERVAL_US (6 * BR_US_PER_S)
 #define PROBE_SAMPLES 128
 #define PROBE_MAX_US (600 * BR_US_PER_MS)
@@ -80,7 +81,7 @@
 	uint32_t sheds;
 	double service_us, smoothed;
 	uint64_t window_start_us, hold_until_us;
-	uint64_t next_probe_us, probe_start_us;
+	uint64_t next_probe_us, probe_start_us, probe_interval_us;
 	bool probing, measuring;
 	uint32_t probe_samples;
 	struct moments excess;
@@ -155,6 +156,8 @@
 				 .limit = l->start,
 				 .good_limit = l->start,
 				 .clean_limit = l->start,
+				 .probe_interval_us = PROBE_FIRST_US,
+				 .stale = true,
 				 .cold = true};
 	br_limiter_set_hint(l, hint);
 }
@@ -356,7 +359,10 @@
 	l->stale = false;
 	l->clean_limit = l->limit * CLEAN_FACTOR;
 	l->probing = false;
-	l->next_probe_us = now_us + PROBE_INTERVAL_US;
+	l->next_probe_us = now_us + l->probe_interval_us;
+	l->probe_interval_us *= 2;
+	if (l->probe_interval_us > PROBE_INTERVAL_US)
+		l->probe_interval_us = PROBE_INTERVAL_US;
 	l->hold_until_us = now_us + settle_us(l);
 }
 
