Scope request ids by account, service, method and path

Cause: a target that passes its request's id on to child calls had the second child call taken for a repeat of the first, and of its own parent; the parent would have waited for itself until its deadline. Change: ids are claimed and remembered within a digest of account, service, method and path; requests without an id get one that is valid in child calls.

--- a/node/call.c
+++ b/node/call.c
@@ -1,6 +1,7 @@
 #include "node/call.h"
 
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -16,6 +17,21 @@
 	pthread_mutex_destroy(&c->cancel.lock);
 }
 
+void call_set_scope(struct call *c)
+{
+	size_t path_len = strcspn(c->target, "?");
+	uint64_t half[2];
+
+	for (uint64_t i = 0; i < 2; i++) {
+		half[i] = br_hash_str(c->account, i);
+		half[i] = br_hash_str(c->service, half[i]);
+		half[i] = br_hash_str(c->method, half[i]);
+		half[i] = br_hash64(c->target, path_len, half[i]);
+	}
+	snprintf(c->scope, sizeof(c->scope), "%016llx%016llx", (unsigned long long)half[0],
+		 (unsigned long long)half[1]);
+}
+
 bool call_cancelled(struct call *c)
 {
 	bool cancelled;
--- a/node/call.h
+++ b/node/call.h
@@ -15,6 +15,9 @@
 /** Account name of requests on open routes that come without a key. */
 #define CALL_ANONYMOUS "-"
 
+/** Bytes of an id's scope with its terminator. */
+#define CALL_SCOPE_BYTES 40
+
 /** Cancellation state of a call; the forwarding code notes where the present attempt runs. */
 struct call_cancel {
 	pthread_mutex_t lock;
@@ -39,6 +42,12 @@
 	char route[BR_NAME_BYTES];
 	/** Empty if the request has none. */
 	char request_id[BR_REQUEST_ID_BYTES];
+	/**
+	 * What the request id is unique in: a digest of account, service, method and path. A target
+	 * that passes its request's id on to several child calls must not have them taken for
+	 * repeats of each other.
+	 */
+	char scope[CALL_SCOPE_BYTES];
 	uint8_t priority;
 	bool idempotent;
 	/** The caller declared that this is its first attempt. */
@@ -66,6 +75,9 @@
 void call_init(struct call *c);
 void call_destroy(struct call *c);
 
+/** Fills the scope from the other fields. */
+void call_set_scope(struct call *c);
+
 /** True once the caller has given up. */
 bool call_cancelled(struct call *c);
 
--- a/node/caller.c
+++ b/node/caller.c
@@ -147,6 +147,7 @@
 		return BR_REASON_KEY_IN_REQUEST;
 	c->method = mg_get_request_info(r->conn)->request_method;
 	c->target = r->target;
+	call_set_scope(c);
 	http_call_copy_headers(r->conn, r->key, c);
 	return BR_REASON_NONE;
 }
--- a/node/claims.c
+++ b/node/claims.c
@@ -283,10 +283,10 @@
 
 static void fill_message(struct claims *cl, const struct call *c, struct claim_message *m)
 {
-	struct br_claim_key key = {.account = c->account, .id = c->request_id};
+	struct br_claim_key key = {.account = c->scope, .id = c->request_id};
 	uint32_t n_slots = blackboard_n_slots(cl->node->board);
 
-	br_copy_text(m->account, sizeof(m->account), c->account);
+	br_copy_text(m->account, sizeof(m->account), c->scope);
 	br_copy_text(m->id, sizeof(m->id), c->request_id);
 	m->slot = n_slots ? br_registrar_slot_of(&key, n_slots) : 0;
 	m->first = c->first_attempt;
--- a/node/dispatch.c
+++ b/node/dispatch.c
@@ -33,6 +33,7 @@
 	struct br_admission_entry entry;
 	pthread_cond_t cond;
 	char attempt[BR_ATTEMPT_ID_BYTES];
+	char visible_id[BR_ATTEMPT_ID_BYTES];
 	struct call *call;
 	/** Set once the request is on its way to the target. */
 	struct parent *parent;
@@ -280,10 +281,15 @@
 		http_response_free(&resp);
 }
 
-/* The request id that the target sees: the caller's, or the attempt's if there is none. */
-static const char *visible_id(const struct call *c, const struct waiter *w)
+/* The request id that the target sees: the caller's, or one made of the attempt's. */
+static void set_visible_id(struct waiter *w)
 {
-	return c->request_id[0] ? c->request_id : w->attempt;
+	br_copy_text(w->visible_id, sizeof(w->visible_id),
+		     w->call->request_id[0] ? w->call->request_id : w->attempt);
+	/* Targets pass the id on to their child calls, where it has to be a valid request id. */
+	for (char *p = w->visible_id; *p; p++)
+		if (*p == '/')
+			*p = '.';
 }
 
 static void build_target_request(const struct call *c, const struct waiter *w, struct parent *p,
@@ -295,7 +301,7 @@
 		http_request_add(req, c->headers[i].name, c->headers[i].value);
 	snprintf(numbers[0], sizeof(numbers[0]), "%u", c->priority);
 	snprintf(numbers[1], sizeof(numbers[1]), "%u", call_left_ms(c, clock_now_us()));
-	http_request_add(req, "Briarreel-Request-Id", visible_id(c, w));
+	http_request_add(req, "Briarreel-Request-Id", w->visible_id);
 	http_request_add(req, "Briarreel-Account", c->account);
 	http_request_add(req, "Briarreel-Priority", numbers[0]);
 	http_request_add(req, "Briarreel-Deadline-Ms", numbers[1]);
@@ -355,7 +361,7 @@
 	ret = http_pool_exchange(d->node->target, t->address, &req, left_ms, &ans->resp, &err);
 	ans->outcome = ret ? outcome_of_error(&err) : outcome_of_response(&ans->resp);
 	if (ret == -ETIMEDOUT)
-		send_cancel(d, t->address, visible_id(c, w));
+		send_cancel(d, t->address, w->visible_id);
 	if (ret)
 		log_info("Target %s: %s: %s.", err.peer, br_step_name(err.step), err.detail);
 	ans->retries_left = parent_end(d->parents, w->parent);
@@ -397,6 +403,7 @@
 	struct target_info t;
 
 	br_attempt_id_format(&att->id, w.attempt);
+	set_visible_id(&w);
 	cond_init_boottime(&w.cond);
 	if (admit(d, &w, &t, ans))
 		run_on_target(d, &w, &t, ans);
@@ -476,7 +483,7 @@
 {
 	struct br_dedup_req req = {.id = att->id,
 				   .target_incarnation = att->target_instance,
-				   .account = c->account,
+				   .account = c->scope,
 				   .request_id = c->request_id[0] && !c->idempotent ? c->request_id
 										    : NULL,
 				   .idempotent = c->idempotent,
@@ -540,7 +547,7 @@
 		counter_add(COUNTER_CANCELLED, 1);
 		pthread_cond_signal(&w->cond);
 		if (w->granted) {
-			br_copy_text(id, sizeof(id), visible_id(w->call, w));
+			br_copy_text(id, sizeof(id), w->visible_id);
 			p = w->parent ? parent_hold(w->parent) : NULL;
 		}
 	}
--- a/node/local.c
+++ b/node/local.c
@@ -117,6 +117,7 @@
 	c->idempotent = route->route.idempotent;
 	c->method = ri->request_method;
 	c->target = r->target;
+	call_set_scope(c);
 	c->body = r->body;
 	http_call_copy_headers(r->conn, NULL, c);
 	return BR_REASON_NONE;
--- a/node/peer.c
+++ b/node/peer.c
@@ -135,6 +135,7 @@
 	counter_add(COUNTER_PEER_REQUESTS, 1);
 	c.method = mg_get_request_info(conn)->request_method;
 	c.target = target;
+	call_set_scope(&c);
 	c.body = body;
 	http_call_copy_headers(conn, NULL, &c);
 	dispatch_run(node->dispatch, &c, &att, &ans);
--- /dev/null
+++ b/tests/mesh.sh
@@ -0,0 +1,129 @@
+# Starts and stops a mesh of processes on loopback; sourced by demo.sh and bench.sh.
+# Set BUILD (folder of the programs) before. All processes are ended by their own ids.
+
+MESH_DIR=$(mktemp -d)
+MESH_PIDS=()
+MESH_TOKEN=mesh-token-for-tests
+PLATFORM=
+SEEDS=
+
+mesh_cleanup() {
+	local pid
+	for pid in "${MESH_PIDS[@]}"; do
+		kill "$pid" 2>/dev/null
+	done
+	for pid in "${MESH_PIDS[@]}"; do
+		wait "$pid" 2>/dev/null
+	done
+	rm -rf "$MESH_DIR"
+}
+trap mesh_cleanup EXIT
+
+# Chooses a range of 1000 ports in which none of the first ones is in use.
+mesh_choose_ports() {
+	local base
+	while :; do
+		base=$((10000 + RANDOM % 20 * 1000))
+		(exec 3<>"/dev/tcp/127.0.0.1/$((base + 1))") 2>/dev/null && continue
+		(exec 3<>"/dev/tcp/127.0.0.1/$((base + 11))") 2>/dev/null && continue
+		break
+	done
+	MESH_BASE=$base
+	PLATFORM=127.0.0.1:$((base + 1))
+}
+
+# mesh_spawn NAME COMMAND...: starts a process; its log goes to MESH_DIR/NAME.log.
+mesh_spawn() {
+	local name=$1
+	shift
+	"$@" >"$MESH_DIR/$name.out" 2>"$MESH_DIR/$name.log" &
+	MESH_PIDS+=($!)
+	declare -g "PID_${name//-/_}=$!"
+}
+
+# mesh_address NODE PART: address of a listener of node number NODE.
+mesh_address() {
+	local offset
+	case $2 in
+	caller) offset=0 ;;
+	peer) offset=1 ;;
+	local) offset=2 ;;
+	admin) offset=3 ;;
+	control) offset=4 ;;
+	target) offset=5 ;;
+	esac
+	echo "127.0.0.1:$((MESH_BASE + 10 + $1 * 10 + offset))"
+}
+
+mesh_platform() {
+	mesh_spawn platform "$BUILD/standin-platform" --listen "$PLATFORM" --workers 512
+	mesh_wait_port "$PLATFORM"
+}
+
+mesh_wait_port() {
+	local i
+	for i in $(seq 200); do
+		(exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null && return 0
+		sleep 0.05
+	done
+	echo "nothing listens on $1" >&2
+	return 1
+}
+
+# mesh_settings NODE ZONE [EXTRA]: writes the settings file of a node.
+mesh_settings() {
+	cat >"$MESH_DIR/node$1.json" <<JSON
+{
+	// Node $1 of the mesh.
+	"zone": "$2",
+	"caller_address": "$(mesh_address "$1" caller)",
+	"peer_address": "$(mesh_address "$1" peer)",
+	"local_address": "$(mesh_address "$1" local)",
+	"admin_address": "$(mesh_address "$1" admin)",
+	"control_address": "$(mesh_address "$1" control)",
+	"platform_address": "$PLATFORM",
+	"seeds": ["$(mesh_address 0 control)", "$(mesh_address 1 control)"],
+	${3:-}
+	"mesh_token": "$MESH_TOKEN"
+}
+JSON
+}
+
+# mesh_node NODE ZONE [EXTRA]: writes the settings of a node and starts it.
+mesh_node() {
+	mesh_settings "$@"
+	mesh_spawn "node$1" "$BUILD/briarreeld" --settings "$MESH_DIR/node$1.json"
+}
+
+# mesh_target NODE SERVICE OPTIONS...: starts the target of a node.
+mesh_target() {
+	local node=$1 service=$2
+	shift 2
+	mesh_spawn "target$node" "$BUILD/standin-target" --listen "$(mesh_address "$node" target)" \
+		--node "$(mesh_address "$node" local)" --service "$service" "$@"
+}
+
+# mesh_record KIND NAME JSON: writes a configuration record.
+mesh_record() {
+	printf '%s' "$3" | "$BUILD/briarreelctl" --platform "$PLATFORM" put "$1" "$2" - >/dev/null
+}
+
+mesh_key_hash() {
+	printf '%s' "$1" | "$BUILD/briarreelctl" key-hash
+}
+
+# mesh_counter NODE NAME: value of a counter without labels.
+mesh_counter() {
+	curl -s --max-time 2 "http://$(mesh_address "$1" admin)/briarreel/counters" |
+		awk -v n="briarreel_$2" '$1 == n {print $2}'
+}
+
+# mesh_until SECONDS COMMAND...: waits until the command succeeds.
+mesh_until() {
+	local end=$((SECONDS + $1))
+	shift
+	until "$@"; do
+		[ $SECONDS -lt $end ] || return 1
+		sleep 0.1
+	done
+}
