--- /dev/null
+++ b/include/briarreel/outcome.h
@@ -0,0 +1,130 @@
+/**
+ * @file outcome.h
+ * Outcome of a request or attempt: answered by the target, proven not run, or unknown.
+ */
+#ifndef BRIARREEL_OUTCOME_H
+#define BRIARREEL_OUTCOME_H
+
+#include "briarreel/types.h"
+
+enum br_outcome_kind {
+	/** The target answered; a plain 503 of the target included. */
+	BR_OUTCOME_ANSWERED,
+	/** A process that knows it reports that the target did not run the request. */
+	BR_OUTCOME_NOT_RUN,
+	/** The target may have run the request. */
+	BR_OUTCOME_UNKNOWN,
+};
+
+/** Reasons of outcomes that are not answers; the kind and HTTP status follow from the reason. */
+enum br_reason {
+	BR_REASON_NONE,
+	/* Not run, 400. */
+	BR_REASON_MALFORMED,
+	BR_REASON_NO_IDENTITY,
+	BR_REASON_KEY_IN_REQUEST,
+	/* Not run, 401. */
+	BR_REASON_NO_KEY,
+	BR_REASON_BAD_KEY,
+	BR_REASON_KEY_WITHDRAWN,
+	/** The key cannot be confirmed: the configuration is older than offline_key_ttl_s. */
+	BR_REASON_KEY_UNCONFIRMED,
+	BR_REASON_BAD_MESH_TOKEN,
+	/* Not run, 404. */
+	BR_REASON_NO_ROUTE,
+	/* Not run, 413. */
+	BR_REASON_BODY_TOO_LARGE,
+	/* Not run, 429. */
+	BR_REASON_OVER_RATE,
+	/* Not run, 503. */
+	BR_REASON_OVERLOAD,
+	BR_REASON_QUEUE_FULL,
+	BR_REASON_NO_TARGET,
+	BR_REASON_DEADLINE,
+	BR_REASON_CANCELLED,
+	BR_REASON_DRAINING,
+	BR_REASON_STOPPING,
+	BR_REASON_CONNECT_FAILED,
+	BR_REASON_TARGET_SHED,
+	BR_REASON_REGISTRAR_UNREACHABLE,
+	/** The registrar took the slot over without memory and cannot know that the id is new. */
+	BR_REASON_REGISTRAR_NO_MEMORY,
+	BR_REASON_REGISTRAR_FULL,
+	BR_REASON_DEDUP_FULL,
+	/** The first attempt of this id has not been dispatched yet. */
+	BR_REASON_FIRST_DISPATCHING,
+	BR_REASON_NO_CONFIG,
+	BR_REASON_INTERNAL,
+	/* Unknown, 409: an earlier attempt ran or may have run; its answer is not available. */
+	BR_REASON_ANSWER_NOT_KEPT,
+	BR_REASON_FIRST_NODE_GONE,
+	BR_REASON_FIRST_UNKNOWN,
+	BR_REASON_STALE_ATTEMPT,
+	/* Unknown, 504. */
+	BR_REASON_TIMEOUT,
+	BR_REASON_CONNECTION_LOST,
+	BR_REASON_ANSWER_TRUNCATED,
+	BR_REASON_WRONG_INCARNATION,
+	BR_REASON_CANCELLED_RUNNING,
+	BR_REASON_COUNT,
+};
+
+/** Tagged union of outcomes; handle it with a switch over kind. */
+struct br_outcome {
+	enum br_outcome_kind kind;
+	union {
+		struct {
+			/** HTTP status of the target. */
+			int status;
+		} answered;
+		struct {
+			enum br_reason reason;
+			/** Time after which a repeat may succeed; 0 if none is known. */
+			uint32_t retry_after_ms;
+		} not_run;
+		struct {
+			enum br_reason reason;
+		} unknown;
+	};
+};
+
+struct br_outcome br_outcome_answered(int status);
+/** reason must be one of the reasons marked "not run". */
+struct br_outcome br_outcome_not_run(enum br_reason reason, uint32_t retry_after_ms);
+/** reason must be one of the reasons marked "unknown". */
+struct br_outcome br_outcome_unknown(enum br_reason reason);
+
+/** Value of the Briarreel-Outcome header: "answered", "not-run" or "unknown". */
+const char *br_outcome_name(const struct br_outcome *o);
+
+/** HTTP status for the caller. */
+int br_outcome_status(const struct br_outcome *o);
+
+/** The reason; BR_REASON_NONE for an answer. */
+enum br_reason br_outcome_reason(const struct br_outcome *o);
+
+/**
+ * True if an entry node may make another attempt by itself, allowance and time permitting. Only an
+ * outcome that another node or a later moment may change is retried; for a non-idempotent request
+ * it must also be proven not run.
+ */
+bool br_outcome_retryable(const struct br_outcome *o, bool idempotent);
+
+/** Value of Retry-After in seconds, rounded up; 0 if the header is left out (only 429 and 503). */
+uint32_t br_outcome_retry_after_s(const struct br_outcome *o);
+
+/** Value of the Briarreel-Reason header, such as "over-rate"; "" for BR_REASON_NONE. */
+const char *br_reason_name(enum br_reason reason);
+
+/** Reason of a header value; BR_REASON_NONE if the name is not known. */
+enum br_reason br_reason_parse(const char *name);
+
+/**
+ * Outcome of a response from a peer node: its HTTP status and the Briarreel-Outcome and
+ * Briarreel-Reason headers (NULL if absent). A response without a valid outcome is unknown, and a
+ * not-run response with a reason that this version does not know stays not run.
+ */
+struct br_outcome br_outcome_of_peer(int status, const char *name, const char *reason,
+				     uint32_t retry_after_ms);
+
+#endif
