Add attempt deduplication at the target's node

Cause: a silent connection is abandoned and its attempt asked for again, while the first message may still arrive. Change: table of attempts with stored answers. An attempt that was forgotten, expired or refused for lack of room stays barred: by its entry while it is remembered, then by the highest counter that expired of its entry node. Attempts meant for another incarnation of the node are refused, because the former process may have run them. Another entry node's attempt can be joined but not started. Conclusion: at 360 attempts/s a 120 s window takes under 10 MB and the default bound of 262,144 attempts about 50 MB; answers are bounded apart.

--- a/include/briarreel/dedup.h
+++ b/include/briarreel/dedup.h
@@ -8,7 +8,7 @@
  * message cannot run it. Not thread-safe; the caller holds one lock around each call. Answers are
  * reference counted and may be read without that lock.
  *
- * Memory: about 100 bytes for each attempt (200 with a request id), plus the stored answers.
+ * Memory: 112 bytes for each attempt (192 with a UUID as request id), plus the stored answers.
  */
 #ifndef BRIARREEL_DEDUP_H
 #define BRIARREEL_DEDUP_H
--- /dev/null
+++ b/lib/dedup.c
@@ -0,0 +1,539 @@
+#include "briarreel/dedup.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define DEFAULT_ATTEMPTS 262144
+#define DEFAULT_ENTRIES 65536
+#define DEFAULT_ANSWER_BYTES (64ULL << 20)
+#define DEFAULT_WINDOW_US (120 * BR_US_PER_S)
+#define DEFAULT_MIN_KEEP_US (30 * BR_US_PER_S)
+/** The record of an entry node without attempts may be dropped after this time, if room is short. */
+#define ENTRY_IDLE_US (24ULL * 3600 * BR_US_PER_S)
+/** Charged for each stored answer in addition to its bytes. */
+#define ANSWER_OVERHEAD_BYTES 64
+
+/**
+ * What is known of an entry node. Attempts of an older incarnation, or with a counter up to floor,
+ * that are not in the table may have run here and are never started.
+ */
+struct entry {
+	struct br_node_id id;
+	uint64_t incarnation;
+	uint64_t floor;
+	uint64_t used_us;
+	uint32_t n_attempts;
+	struct entry *hash_next;
+	TAILQ_ENTRY(entry) lru;
+};
+
+enum state {
+	RUNNING,
+	DONE,
+	NOT_RUN,
+	/** Joined another attempt of its request id; never runs by itself. */
+	JOINED,
+};
+
+struct attempt {
+	struct entry *entry;
+	uint64_t incarnation;
+	uint64_t counter;
+	uint64_t finished_us;
+	struct br_answer *answer;
+	struct request *request;
+	struct attempt *hash_next;
+	/** In one of the finished lists unless it is running. */
+	TAILQ_ENTRY(attempt) finished;
+	TAILQ_ENTRY(attempt) answered;
+	uint8_t state;
+	bool idempotent;
+};
+
+/** Index entry of a request id whose attempt is running or done. */
+struct request {
+	struct attempt *attempt;
+	struct request *hash_next;
+	uint64_t hash;
+	/** Account and request id, each with its terminator. */
+	char text[];
+};
+
+TAILQ_HEAD(attempt_list, attempt);
+TAILQ_HEAD(entry_list, entry);
+
+struct br_dedup {
+	struct br_dedup_config cfg;
+	struct br_dedup_stats stats;
+	struct attempt **attempts;
+	struct request **requests;
+	uint64_t mask;
+	struct entry **entries;
+	uint64_t entry_mask;
+	struct entry_list lru;
+	/** Finished attempts, oldest first: [0] non-idempotent, [1] idempotent. */
+	struct attempt_list finished[2];
+	/** Attempts with an answer, oldest first. */
+	struct attempt_list answered;
+};
+
+static uint64_t table_size(uint32_t max)
+{
+	uint64_t n = 16;
+
+	while (n < max)
+		n *= 2;
+	return n;
+}
+
+static void set_defaults(struct br_dedup_config *cfg)
+{
+	if (!cfg->max_attempts)
+		cfg->max_attempts = DEFAULT_ATTEMPTS;
+	if (!cfg->max_entries)
+		cfg->max_entries = DEFAULT_ENTRIES;
+	if (!cfg->max_answer_bytes)
+		cfg->max_answer_bytes = DEFAULT_ANSWER_BYTES;
+	if (!cfg->window_us)
+		cfg->window_us = DEFAULT_WINDOW_US;
+	if (!cfg->min_keep_us)
+		cfg->min_keep_us = DEFAULT_MIN_KEEP_US;
+}
+
+struct br_dedup *br_dedup_create(const struct br_dedup_config *cfg)
+{
+	struct br_dedup *d = calloc(1, sizeof(*d));
+
+	if (!d)
+		return NULL;
+	d->cfg = *cfg;
+	set_defaults(&d->cfg);
+	d->mask = table_size(d->cfg.max_attempts) - 1;
+	d->entry_mask = table_size(d->cfg.max_entries) - 1;
+	d->attempts = calloc(d->mask + 1, sizeof(struct attempt *));
+	d->requests = calloc(d->mask + 1, sizeof(struct request *));
+	d->entries = calloc(d->entry_mask + 1, sizeof(struct entry *));
+	TAILQ_INIT(&d->lru);
+	TAILQ_INIT(&d->finished[0]);
+	TAILQ_INIT(&d->finished[1]);
+	TAILQ_INIT(&d->answered);
+	if (!d->attempts || !d->requests || !d->entries || d->cfg.min_keep_us > d->cfg.window_us) {
+		br_dedup_destroy(d);
+		return NULL;
+	}
+	return d;
+}
+
+static uint64_t attempt_hash(const struct entry *e, uint64_t incarnation, uint64_t counter)
+{
+	uint64_t parts[3] = {(uint64_t)(uintptr_t)e, incarnation, counter};
+
+	return br_hash64(parts, sizeof(parts), 0);
+}
+
+static uint64_t request_hash(const char *account, const char *id)
+{
+	return br_hash_str(id, br_hash_str(account, 0));
+}
+
+static struct entry *find_entry(const struct br_dedup *d, const struct br_node_id *id)
+{
+	struct entry *e = d->entries[br_hash_str(id->text, 0) & d->entry_mask];
+
+	while (e && !br_node_id_equal(&e->id, id))
+		e = e->hash_next;
+	return e;
+}
+
+static struct attempt *find_attempt(const struct br_dedup *d, const struct br_attempt_id *id)
+{
+	struct entry *e = find_entry(d, &id->entry);
+	struct attempt *a;
+
+	if (!e)
+		return NULL;
+	a = d->attempts[attempt_hash(e, id->incarnation, id->counter) & d->mask];
+	while (a &&
+	       (a->entry != e || a->incarnation != id->incarnation || a->counter != id->counter))
+		a = a->hash_next;
+	return a;
+}
+
+static struct request *find_request(const struct br_dedup *d, const char *account, const char *id)
+{
+	uint64_t hash = request_hash(account, id);
+	struct request *r = d->requests[hash & d->mask];
+
+	while (r && (r->hash != hash || strcmp(r->text, account) != 0 ||
+		     strcmp(r->text + strlen(account) + 1, id) != 0))
+		r = r->hash_next;
+	return r;
+}
+
+static void drop_request(struct br_dedup *d, struct attempt *a)
+{
+	struct request *r = a->request;
+	struct request **p;
+
+	if (!r)
+		return;
+	p = &d->requests[r->hash & d->mask];
+	while (*p != r)
+		p = &(*p)->hash_next;
+	*p = r->hash_next;
+	a->request = NULL;
+	free(r);
+}
+
+static bool add_request(struct br_dedup *d, struct attempt *a, const char *account, const char *id)
+{
+	size_t account_len = strlen(account) + 1;
+	size_t id_len = strlen(id) + 1;
+	struct request *r = malloc(sizeof(*r) + account_len + id_len);
+
+	if (!r)
+		return false;
+	memcpy(r->text, account, account_len);
+	memcpy(r->text + account_len, id, id_len);
+	r->attempt = a;
+	r->hash = request_hash(account, id);
+	r->hash_next = d->requests[r->hash & d->mask];
+	d->requests[r->hash & d->mask] = r;
+	a->request = r;
+	return true;
+}
+
+static uint64_t answer_bytes(const struct br_answer *a)
+{
+	size_t headers;
+	size_t body;
+
+	br_answer_headers(a, &headers);
+	br_answer_body(a, &body);
+	return headers + body + ANSWER_OVERHEAD_BYTES;
+}
+
+static void drop_answer(struct br_dedup *d, struct attempt *a)
+{
+	if (!a->answer)
+		return;
+	d->stats.answer_bytes -= answer_bytes(a->answer);
+	TAILQ_REMOVE(&d->answered, a, answered);
+	br_answer_put(a->answer);
+	a->answer = NULL;
+}
+
+static void raise_floor(struct entry *e, uint64_t incarnation, uint64_t counter)
+{
+	if (e->incarnation == incarnation && counter > e->floor)
+		e->floor = counter;
+}
+
+static void remove_attempt(struct br_dedup *d, struct attempt *a)
+{
+	struct attempt **p =
+		&d->attempts[attempt_hash(a->entry, a->incarnation, a->counter) & d->mask];
+
+	while (*p != a)
+		p = &(*p)->hash_next;
+	*p = a->hash_next;
+	if (a->state == RUNNING)
+		d->stats.running--;
+	else
+		TAILQ_REMOVE(&d->finished[a->idempotent], a, finished);
+	drop_answer(d, a);
+	drop_request(d, a);
+	raise_floor(a->entry, a->incarnation, a->counter);
+	a->entry->n_attempts--;
+	d->stats.attempts--;
+	free(a);
+}
+
+void br_dedup_destroy(struct br_dedup *d)
+{
+	struct entry *e;
+
+	if (!d)
+		return;
+	for (uint64_t i = 0; d->attempts && i <= d->mask; i++)
+		while (d->attempts[i])
+			remove_attempt(d, d->attempts[i]);
+	while ((e = TAILQ_FIRST(&d->lru))) {
+		TAILQ_REMOVE(&d->lru, e, lru);
+		free(e);
+	}
+	free(d->attempts);
+	free(d->requests);
+	free(d->entries);
+	free(d);
+}
+
+static bool expire_oldest(struct br_dedup *d, int list, uint64_t keep_us, uint64_t now_us)
+{
+	struct attempt *a = TAILQ_FIRST(&d->finished[list]);
+
+	if (!a || a->finished_us + keep_us > now_us)
+		return false;
+	remove_attempt(d, a);
+	return true;
+}
+
+void br_dedup_expire(struct br_dedup *d, uint64_t now_us)
+{
+	while (expire_oldest(d, 0, d->cfg.window_us, now_us))
+		;
+	while (expire_oldest(d, 1, d->cfg.min_keep_us, now_us))
+		;
+}
+
+/* Drops the record that was idle longest, if that is long enough for no message to be on its way. */
+static bool drop_idle_entry(struct br_dedup *d, uint64_t now_us)
+{
+	struct entry *e = TAILQ_FIRST(&d->lru);
+	struct entry **p;
+
+	if (!e || e->n_attempts || e->used_us + ENTRY_IDLE_US > now_us)
+		return false;
+	p = &d->entries[br_hash_str(e->id.text, 0) & d->entry_mask];
+	while (*p != e)
+		p = &(*p)->hash_next;
+	*p = e->hash_next;
+	TAILQ_REMOVE(&d->lru, e, lru);
+	d->stats.entries--;
+	free(e);
+	return true;
+}
+
+static struct entry *use_entry(struct br_dedup *d, const struct br_node_id *id, uint64_t now_us)
+{
+	struct entry *e = find_entry(d, id);
+	struct entry **bucket = &d->entries[br_hash_str(id->text, 0) & d->entry_mask];
+
+	if (e) {
+		TAILQ_REMOVE(&d->lru, e, lru);
+	} else {
+		if (d->stats.entries >= d->cfg.max_entries && !drop_idle_entry(d, now_us))
+			return NULL;
+		e = calloc(1, sizeof(*e));
+		if (!e)
+			return NULL;
+		e->id = *id;
+		e->hash_next = *bucket;
+		*bucket = e;
+		d->stats.entries++;
+	}
+	e->used_us = now_us;
+	TAILQ_INSERT_TAIL(&d->lru, e, lru);
+	return e;
+}
+
+static struct attempt *add_attempt(struct br_dedup *d, struct entry *e,
+				   const struct br_dedup_req *req, uint64_t now_us)
+{
+	struct attempt **bucket;
+	struct attempt *a;
+
+	if (d->stats.attempts >= d->cfg.max_attempts &&
+	    !expire_oldest(d, 0, d->cfg.min_keep_us, now_us))
+		return NULL;
+	a = calloc(1, sizeof(*a));
+	if (!a)
+		return NULL;
+	a->entry = e;
+	a->incarnation = req->id.incarnation;
+	a->counter = req->id.counter;
+	a->idempotent = req->idempotent;
+	bucket = &d->attempts[attempt_hash(e, a->incarnation, a->counter) & d->mask];
+	a->hash_next = *bucket;
+	*bucket = a;
+	e->n_attempts++;
+	d->stats.attempts++;
+	d->stats.running++;
+	return a;
+}
+
+static void end_attempt(struct br_dedup *d, struct attempt *a, enum state state, uint64_t now_us)
+{
+	BR_INVARIANT(a->state == RUNNING);
+	a->state = (uint8_t)state;
+	a->finished_us = now_us;
+	d->stats.running--;
+	TAILQ_INSERT_TAIL(&d->finished[a->idempotent], a, finished);
+}
+
+static struct br_dedup_result result_of(const struct attempt *a)
+{
+	struct br_dedup_result res = {.state = BR_DEDUP_RUNNING};
+
+	BR_INVARIANT(a);
+	res.attempt.entry = a->entry->id;
+	res.attempt.incarnation = a->incarnation;
+	res.attempt.counter = a->counter;
+	switch ((enum state)a->state) {
+	case RUNNING:
+		break;
+	case DONE:
+		res.state = a->answer ? BR_DEDUP_DONE : BR_DEDUP_DONE_NO_ANSWER;
+		res.answer = a->answer ? br_answer_get(a->answer) : NULL;
+		break;
+	case NOT_RUN:
+		res.state = BR_DEDUP_NOT_RUN;
+		break;
+	case JOINED:
+		res.state = BR_DEDUP_STALE;
+		break;
+	}
+	return res;
+}
+
+static struct br_dedup_result refused(enum br_dedup_state state, const struct br_attempt_id *id)
+{
+	return (struct br_dedup_result){.state = state, .attempt = *id};
+}
+
+static bool is_stale(const struct entry *e, const struct br_attempt_id *id)
+{
+	return !id->counter || id->incarnation < e->incarnation ||
+	       (id->incarnation == e->incarnation && id->counter <= e->floor);
+}
+
+/*
+ * Marks an attempt that joined another one, so that a late copy of its message cannot start it
+ * after the other attempt has expired.
+ */
+static void mark_joined(struct br_dedup *d, struct entry *e, const struct br_dedup_req *req,
+			uint64_t now_us)
+{
+	struct attempt *a = add_attempt(d, e, req, now_us);
+
+	if (a)
+		end_attempt(d, a, JOINED, now_us);
+	else
+		raise_floor(e, req->id.incarnation, req->id.counter);
+}
+
+static struct br_dedup_result begin_new(struct br_dedup *d, const struct br_dedup_req *req,
+					const struct request *same, uint64_t now_us)
+{
+	struct entry *e = use_entry(d, &req->id.entry, now_us);
+	struct attempt *a;
+
+	if (!e || is_stale(e, &req->id)) {
+		d->stats.refused_stale++;
+		return refused(BR_DEDUP_STALE, &req->id);
+	}
+	if (req->id.incarnation > e->incarnation) {
+		e->incarnation = req->id.incarnation;
+		e->floor = 0;
+	}
+	if (same) {
+		/* Taken first, because the mark may make the oldest attempt expire for room. */
+		struct br_dedup_result res = result_of(same->attempt);
+
+		d->stats.joined++;
+		mark_joined(d, e, req, now_us);
+		return res;
+	}
+	a = add_attempt(d, e, req, now_us);
+	if (a && req->request_id && !req->idempotent &&
+	    !add_request(d, a, req->account, req->request_id)) {
+		remove_attempt(d, a);
+		a = NULL;
+	}
+	if (!a) {
+		/* A later copy of the message may find room, but "not run" has been said. */
+		raise_floor(e, req->id.incarnation, req->id.counter);
+		d->stats.refused_full++;
+		return refused(BR_DEDUP_FULL, &req->id);
+	}
+	return refused(BR_DEDUP_NEW, &req->id);
+}
+
+struct br_dedup_result br_dedup_begin(struct br_dedup *d, const struct br_dedup_req *req,
+				      uint64_t now_us)
+{
+	const struct request *same = NULL;
+	const struct entry *e;
+	struct attempt *a;
+
+	br_dedup_expire(d, now_us);
+	if (req->target_incarnation != d->cfg.incarnation) {
+		d->stats.refused_incarnation++;
+		return refused(BR_DEDUP_WRONG_INCARNATION, &req->id);
+	}
+	if (req->request_id && !req->idempotent)
+		same = find_request(d, req->account, req->request_id);
+	a = find_attempt(d, &req->id);
+	if (a && a->state == JOINED && same)
+		a = same->attempt;
+	if (!a && same && req->attach)
+		a = same->attempt;
+	if (a) {
+		d->stats.joined++;
+		return result_of(a);
+	}
+	if (!req->attach)
+		return begin_new(d, req, same, now_us);
+	e = find_entry(d, &req->id.entry);
+	if (e && is_stale(e, &req->id))
+		return refused(BR_DEDUP_STALE, &req->id);
+	return refused(BR_DEDUP_ABSENT, &req->id);
+}
+
+struct br_dedup_result br_dedup_find(struct br_dedup *d, const struct br_attempt_id *id)
+{
+	const struct attempt *a = find_attempt(d, id);
+	const struct entry *e = find_entry(d, &id->entry);
+
+	if (a)
+		return result_of(a);
+	return refused(e && is_stale(e, id) ? BR_DEDUP_STALE : BR_DEDUP_ABSENT, id);
+}
+
+static void store_answer(struct br_dedup *d, struct attempt *a, struct br_answer *answer)
+{
+	uint64_t size = answer_bytes(answer);
+
+	if (size > d->cfg.max_answer_bytes) {
+		d->stats.answers_dropped++;
+		return;
+	}
+	while (d->stats.answer_bytes + size > d->cfg.max_answer_bytes) {
+		drop_answer(d, TAILQ_FIRST(&d->answered));
+		d->stats.answers_dropped++;
+	}
+	a->answer = br_answer_get(answer);
+	d->stats.answer_bytes += size;
+	TAILQ_INSERT_TAIL(&d->answered, a, answered);
+}
+
+int br_dedup_finish(struct br_dedup *d, const struct br_attempt_id *id, struct br_answer *answer,
+		    uint64_t now_us)
+{
+	struct attempt *a = find_attempt(d, id);
+
+	if (!a || a->state != RUNNING)
+		return -ENOENT;
+	end_attempt(d, a, DONE, now_us);
+	if (answer)
+		store_answer(d, a, answer);
+	return 0;
+}
+
+int br_dedup_forget(struct br_dedup *d, const struct br_attempt_id *id, uint64_t now_us)
+{
+	struct attempt *a = find_attempt(d, id);
+
+	if (!a || a->state != RUNNING)
+		return -ENOENT;
+	end_attempt(d, a, NOT_RUN, now_us);
+	drop_request(d, a);
+	return 0;
+}
+
+void br_dedup_stats(const struct br_dedup *d, struct br_dedup_stats *out)
+{
+	*out = d->stats;
+}
