Add the registrar of request ids

Cause: repeats of a non-idempotent request may reach any entry node. Change: claims at a slot holder with repeat, move, release, takeover without memory and handover. A handover carries the former holder's refusal window too; a takeover counts as clean only after a whole import. A full table drops released ids, never live claims. A release of an id that is not remembered is recorded only outside the refusal window: inside it, it would make an id look free that ran under the former holder.

--- a/include/briarreel/registrar.h
+++ b/include/briarreel/registrar.h
@@ -4,7 +4,7 @@
  *
  * The module does not know whether this node may still act for a slot: the caller asks
  * br_slots_may_grant() before each claim and calls br_registrar_drop() when the slot is lost.
- * Not thread-safe. Memory: about 200 bytes for each claim.
+ * Not thread-safe. Memory: 176 bytes for each claim of a UUID.
  */
 #ifndef BRIARREEL_REGISTRAR_H
 #define BRIARREEL_REGISTRAR_H
@@ -16,7 +16,7 @@
 /** Largest share_slots. */
 #define BR_REGISTRAR_MAX_SLOTS 1024
 /** Bytes of one exported claim as text with its terminator. */
-#define BR_CLAIM_LINE_BYTES 512
+#define BR_CLAIM_LINE_BYTES 768
 
 struct br_registrar_config {
 	/** Slots of the deployment (share_slots). */
@@ -87,10 +87,10 @@
 	uint64_t takeover_wall_ms;
 };
 
-/** Position of an export; start with zeros. */
+/** Position of an export; start with zeros. Valid until the slot is dropped or taken over. */
 struct br_claim_cursor {
-	uint64_t bucket;
-	uint64_t skip;
+	const void *next;
+	bool started;
 };
 
 /** NULL if there is no memory or n_slots is out of range. */
@@ -104,9 +104,10 @@
 bool br_uuid7_time_ms(const char *id, uint64_t *time_ms);
 
 /**
- * Starts to act for a slot. clean: the former holder stopped and all its claims were imported
- * before this call. Without clean, ids that may have been claimed earlier are refused for
- * window_us; the first start of a deployment is no exception. Returns 0 or -ERANGE.
+ * Starts to act for a slot. clean: the former holder stopped, and its slot state and all its claims
+ * were imported before this call. Without clean or a whole import, ids that may have been claimed
+ * earlier are refused for window_us; the first start of a deployment is no exception. Returns 0,
+ * -ERANGE, or -EBUSY if the slot is already held here.
  */
 int br_registrar_takeover(struct br_registrar *r, uint32_t slot, uint64_t wall_ms, uint64_t now_us,
 			  bool clean);
@@ -123,6 +124,10 @@
 /**
  * Claims an id for where->attempt. first: the caller said that this is its first attempt, which
  * passes a registrar without memory; a remembered claim wins over it.
+ *
+ * first is only safe while the request is younger than the shortest takeover (one lease term): an
+ * older message may have been overtaken by a repeat that ran under the former holder. The entry
+ * node passes first = false for a request that waited longer or whose caller has hung up.
  */
 struct br_claim_reply br_registrar_claim(struct br_registrar *r, uint32_t slot,
 					 const struct br_claim_key *key, bool first,
@@ -157,18 +162,23 @@
 			      struct br_claim_slot *out);
 
 /**
- * Stores claims of the former holder before a clean takeover. Returns 0; -EBUSY if the slot is
- * held here; -ENOSPC if they do not fit: the takeover is then not clean.
+ * Begins the import of a slot before a clean takeover; drops what is left of an earlier hold or
+ * import. Returns 0, -ERANGE, or -EBUSY if the slot is held here.
  */
-int br_registrar_import(struct br_registrar *r, uint32_t slot, const struct br_claim_record *in,
-			size_t n, uint64_t now_us);
-
-/** Stores the state of the slot; as br_registrar_import(), before a clean takeover. */
 int br_registrar_import_slot(struct br_registrar *r, uint32_t slot, const struct br_claim_slot *in,
 			     uint64_t now_us);
 
+/**
+ * Stores claims of the former holder, after br_registrar_import_slot(). Returns 0; -EPERM if no
+ * import was begun; -EINVAL if a claim belongs to another slot; -ENOSPC if they do not fit. After
+ * an error the takeover is not clean.
+ */
+int br_registrar_import(struct br_registrar *r, uint32_t slot, const struct br_claim_record *in,
+			size_t n, uint64_t now_us);
+
 /** Writes a record as one line of text without a line end; out has BR_CLAIM_LINE_BYTES. */
 void br_claim_record_format(const struct br_claim_record *rec, char *out);
+
 /** Reads such a line; 0 or -EINVAL. */
 int br_claim_record_parse(const char *line, struct br_claim_record *rec);
 
--- /dev/null
+++ b/lib/claim.c
@@ -0,0 +1,139 @@
+#include "lib/claim.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct claim *claim_create(const struct br_claim_key *key, const struct br_claim_where *where)
+{
+	size_t account = strlen(key->account) + 1;
+	size_t id = strlen(key->id) + 1;
+	size_t entry = strlen(where->attempt.entry.text) + 1;
+	size_t node = strlen(where->node.text) + 1;
+	struct claim *c;
+
+	if (account > BR_NAME_BYTES || id > BR_REQUEST_ID_BYTES)
+		return NULL;
+	c = calloc(1, sizeof(*c) + account + id + entry + node);
+	if (!c)
+		return NULL;
+	c->entry_incarnation = where->attempt.incarnation;
+	c->counter = where->attempt.counter;
+	c->incarnation = where->incarnation;
+	c->id_at = (uint8_t)account;
+	c->entry_at = (uint8_t)(account + id);
+	c->node_at = (uint16_t)(account + id + entry);
+	memcpy(c->text, key->account, account);
+	memcpy(c->text + c->id_at, key->id, id);
+	memcpy(c->text + c->entry_at, where->attempt.entry.text, entry);
+	memcpy(c->text + c->node_at, where->node.text, node);
+	return c;
+}
+
+const char *claim_account(const struct claim *c)
+{
+	return c->text;
+}
+
+const char *claim_id(const struct claim *c)
+{
+	return c->text + c->id_at;
+}
+
+bool claim_same_entry(const struct claim *c, const struct br_attempt_id *attempt)
+{
+	return c->entry_incarnation == attempt->incarnation &&
+	       !strcmp(c->text + c->entry_at, attempt->entry.text);
+}
+
+bool claim_is(const struct claim *c, const struct br_attempt_id *attempt)
+{
+	return c->counter == attempt->counter && claim_same_entry(c, attempt);
+}
+
+void claim_where(const struct claim *c, struct br_claim_where *out)
+{
+	*out = (struct br_claim_where){.incarnation = c->incarnation};
+	out->attempt.incarnation = c->entry_incarnation;
+	out->attempt.counter = c->counter;
+	br_copy_text(out->attempt.entry.text, sizeof(out->attempt.entry.text),
+		     c->text + c->entry_at);
+	br_copy_text(out->node.text, sizeof(out->node.text), c->text + c->node_at);
+}
+
+/* Writes text with every byte that could end a field as %XX; returns the end. */
+static char *escape(char *out, const char *text)
+{
+	for (; *text; text++) {
+		unsigned char c = (unsigned char)*text;
+
+		if (c <= ' ' || c == '%' || c >= 0x7f)
+			out += sprintf(out, "%%%02x", c);
+		else
+			*out++ = (char)c;
+	}
+	*out = '\0';
+	return out;
+}
+
+/* Reads a field written by escape() into dst; false if it is too long or malformed. */
+static bool unescape(char *dst, size_t dst_bytes, const char *field)
+{
+	size_t n = 0;
+
+	while (*field) {
+		unsigned int c = (unsigned char)*field;
+
+		if (c == '%') {
+			if (sscanf(field, "%%%2x", &c) != 1 || !c || strlen(field) < 3)
+				return false;
+			field += 2;
+		}
+		if (n + 1 >= dst_bytes)
+			return false;
+		dst[n++] = (char)c;
+		field++;
+	}
+	dst[n] = '\0';
+	return n > 0;
+}
+
+void br_claim_record_format(const struct br_claim_record *rec, char *out)
+{
+	char attempt[BR_ATTEMPT_ID_BYTES];
+	const char *node = rec->where.node.text[0] ? rec->where.node.text : "-";
+
+	br_attempt_id_format(&rec->where.attempt, attempt);
+	out = escape(out, rec->account);
+	*out++ = ' ';
+	out = escape(out, rec->id);
+	sprintf(out, " %s %s %" PRIu64 " %d %" PRIu64, attempt, node, rec->where.incarnation,
+		rec->released, rec->left_us);
+}
+
+int br_claim_record_parse(const char *line, struct br_claim_record *rec)
+{
+	char account[3 * BR_NAME_BYTES];
+	char id[3 * BR_REQUEST_ID_BYTES];
+	char attempt[BR_ATTEMPT_ID_BYTES];
+	char node[BR_NODE_ID_BYTES];
+	int released;
+	int end = 0;
+
+	*rec = (struct br_claim_record){0};
+	if (strlen(line) >= BR_CLAIM_LINE_BYTES ||
+	    sscanf(line, "%191s %239s %89s %47s %" SCNu64 " %d %" SCNu64 "%n", account, id, attempt,
+		   node, &rec->where.incarnation, &released, &rec->left_us, &end) != 7 ||
+	    line[end])
+		return -EINVAL;
+	if (!unescape(rec->account, sizeof(rec->account), account) ||
+	    !unescape(rec->id, sizeof(rec->id), id) ||
+	    br_attempt_id_parse(attempt, &rec->where.attempt))
+		return -EINVAL;
+	if (strcmp(node, "-") != 0)
+		br_copy_text(rec->where.node.text, sizeof(rec->where.node.text), node);
+	rec->released = released != 0;
+	return 0;
+}
