--- a/include/briarreel/burn.h
+++ b/include/briarreel/burn.h
@@ -6,7 +6,7 @@
  * chapter 5 "Alerting on SLOs", section "Multiwindow, Multi-Burn-Rate Alerts", table 5-8.
  *
  * Counts lie in two rings of buckets: 10 s for windows up to 1 h and 5 min for longer ones, so a
- * window is exact to one bucket. Memory: 20 KB for each series. Not thread-safe.
+ * window is exact to one bucket. Memory: 29 KB for each series. Not thread-safe.
  */
 #ifndef BRIARREEL_BURN_H
 #define BRIARREEL_BURN_H
