--- /dev/null
+++ b/tests/random/once_world.h
@@ -0,0 +1,230 @@
+/*
+ * World of tests/random/once.c: event queue, messages, processes and requests.
+ */
+#ifndef TESTS_RANDOM_ONCE_WORLD_H
+#define TESTS_RANDOM_ONCE_WORLD_H
+
+#include "briarreel/dedup.h"
+#include "briarreel/registrar.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define N_NODES 3
+#define N_SLOTS 4
+#define N_REQUESTS 40
+#define MAX_TASKS (N_REQUESTS * 5)
+#define MAX_ATTEMPTS (MAX_TASKS * 4)
+#define MS BR_US_PER_MS
+#define S BR_US_PER_S
+#define WALL_START_MS 1764800000000ULL
+/* Least time between the loss of a holder and the next takeover: one lease term and a margin. */
+#define TERM_US (5 * S)
+
+enum role {
+	ENTRY,
+	TARGET,
+	HOLDER,
+	ROLES
+};
+
+enum kind {
+	START,
+	CLAIM,
+	MOVE,
+	RELEASE,
+	CLAIM_REP,
+	RUN,
+	RUN_REP,
+	DISPATCH,
+	FINISH,
+	TIMER,
+	CRASH,
+	RESTART,
+	TAKEOVER,
+	HANDOVER,
+	IMPORT
+};
+
+enum phase {
+	CLAIMING,
+	PLACING,
+	SENT,
+	ATTACHING,
+	ENDED
+};
+
+struct export
+{
+	char lines[64][BR_CLAIM_LINE_BYTES];
+	size_t n;
+	struct br_claim_slot slot;
+	bool whole;
+};
+
+/* An event or message; unused fields are zero. */
+struct event {
+	uint64_t at_us;
+	uint64_t order;
+	enum kind kind;
+	enum role role;
+	uint32_t node;
+	/* Process that the event belongs to, for events inside a process. */
+	uint64_t incarnation;
+	uint32_t request;
+	uint32_t task;
+	uint32_t slot;
+	uint32_t step;
+	bool first;
+	bool attach;
+	struct br_claim_where where;
+	struct br_attempt_id from;
+	struct br_claim_reply claim;
+	enum br_dedup_state state;
+	struct export *export;
+};
+
+struct request {
+	char id[BR_REQUEST_ID_BYTES];
+	uint32_t executed;
+};
+
+struct attempt {
+	struct br_attempt_id id;
+	uint32_t request;
+	bool executed;
+	bool not_run;
+};
+
+/* One message of a caller at an entry node. */
+struct task {
+	enum phase phase;
+	uint32_t request;
+	uint32_t entry;
+	uint64_t incarnation;
+	uint64_t arrived_us;
+	struct br_claim_where where;
+	struct br_attempt_id from;
+	bool first;
+	uint32_t step;
+	uint32_t tries;
+	uint32_t retries;
+};
+
+struct node {
+	bool up;
+	uint64_t incarnation;
+	uint64_t counter;
+	struct br_dedup *dedup;
+	struct br_registrar *registrar;
+};
+
+struct stats {
+	uint32_t requests, executed, not_run, retried_runs, collected, no_memory, handovers, stale;
+	uint32_t full;
+};
+
+struct world {
+	struct br_rng rng;
+	uint64_t now_us;
+	uint64_t order;
+	struct event *heap;
+	size_t n_events, cap_events;
+	struct node nodes[ROLES][N_NODES];
+	int holder_of[N_SLOTS];
+	struct request requests[N_REQUESTS];
+	struct task tasks[MAX_TASKS];
+	uint32_t n_tasks;
+	struct attempt attempts[MAX_ATTEMPTS];
+	uint32_t n_attempts;
+	bool small;
+	uint64_t loss_pct;
+	struct stats stats;
+	char fault[256];
+};
+
+static uint64_t below(struct world *w, uint64_t limit)
+{
+	return br_rng_below(&w->rng, limit);
+}
+
+static bool chance(struct world *w, uint64_t pct)
+{
+	return below(w, 100) < pct;
+}
+
+static void fault(struct world *w, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (w->fault[0])
+		return;
+	va_start(ap, fmt);
+	vsnprintf(w->fault, sizeof(w->fault), fmt, ap);
+	va_end(ap);
+}
+
+static bool earlier(const struct event *a, const struct event *b)
+{
+	return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
+}
+
+static void push(struct world *w, struct event ev, uint64_t delay_us)
+{
+	size_t i = w->n_events++;
+
+	if (i == w->cap_events) {
+		w->cap_events = w->cap_events ? w->cap_events * 2 : 256;
+		w->heap = realloc(w->heap, w->cap_events * sizeof(*w->heap));
+		BR_INVARIANT(w->heap);
+	}
+	ev.at_us = w->now_us + delay_us;
+	ev.order = w->order++;
+	for (; i && earlier(&ev, &w->heap[(i - 1) / 2]); i = (i - 1) / 2)
+		w->heap[i] = w->heap[(i - 1) / 2];
+	w->heap[i] = ev;
+}
+
+static struct event pop(struct world *w)
+{
+	struct event top = w->heap[0];
+	struct event last = w->heap[--w->n_events];
+	size_t i = 0;
+
+	for (;;) {
+		size_t c = 2 * i + 1;
+
+		if (c >= w->n_events)
+			break;
+		if (c + 1 < w->n_events && earlier(&w->heap[c + 1], &w->heap[c]))
+			c++;
+		if (!earlier(&w->heap[c], &last))
+			break;
+		w->heap[i] = w->heap[c];
+		i = c;
+	}
+	if (w->n_events)
+		w->heap[i] = last;
+	return top;
+}
+
+/* Sends a message that may be lost, late or doubled. Some copies are later than every window. */
+static void send(struct world *w, struct event ev)
+{
+	uint32_t copies = chance(w, 15) ? 2 : 1;
+
+	for (uint32_t i = 0; i < copies; i++) {
+		uint64_t delay_us = MS + below(w, 20 * MS);
+
+		if (chance(w, w->loss_pct))
+			continue;
+		if (chance(w, 8))
+			delay_us = below(w, 20 * S);
+		if (ev.kind != CLAIM_REP && ev.kind != RUN_REP && chance(w, 3))
+			delay_us = 100 * S + below(w, 150 * S);
+		push(w, ev, delay_us);
+	}
+}
+
+#endif
