--- a/common/http_client.c
+++ b/common/http_client.c
@@ -340,7 +340,7 @@
 		if (clock_now_us() + 2 * BR_US_PER_MS >= end_us)
 			return br_error_set(err, -ETIMEDOUT, BR_STEP_RECEIVE, address,
 					    "no response within %u ms", wait->timeout_ms);
-		if (!wait->on_silence(wait->arg))
+		if (!wait->on_silence || !wait->on_silence(wait->arg))
 			return br_error_set(err, -EREMOTEIO, BR_STEP_RECEIVE, address,
 					    "connection is silent");
 	}
--- a/node/conn_watch.c
+++ b/node/conn_watch.c
@@ -28,7 +28,7 @@
 /* Finds the socket of a connection by its two ends, since CivetWeb does not give it. */
 static bool fd_matches(int fd, const struct conn_watch_entry *e)
 {
-	struct sockaddr_in sa;
+	struct sockaddr_in sa = {0};
 	socklen_t len = sizeof(sa);
 
 	if (getpeername(fd, (struct sockaddr *)&sa, &len) || sa.sin_family != AF_INET ||
@@ -47,7 +47,7 @@
 	for (struct conn_watch_entry *e = w->head; e; e = e->next)
 		needed |= e->fd < 0 && now_us - e->since_us > WATCH_AFTER_US;
 	for (int fd = 3; needed && gap < FD_GAP_MAX; fd++) {
-		struct sockaddr_in sa;
+		struct sockaddr_in sa = {0};
 		socklen_t len = sizeof(sa);
 
 		if (getpeername(fd, (struct sockaddr *)&sa, &len)) {
--- a/tests/random/overload.c
+++ b/tests/random/overload.c
@@ -331,8 +331,7 @@
 {
 	if (m->now_us / WINDOW_US == m->window_no)
 		return;
-	if (m->sc->policy == POLICY_BRIARREEL && top_fits(m) && m->top_refused &&
-	    m->lower_admitted)
+	if (m->sc->policy == POLICY_BRIARREEL && top_fits(m) && m->top_refused && m->lower_admitted)
 		m->out.wrong_windows++;
 	m->window_no = m->now_us / WINDOW_US;
 	m->top_work[m->window_no % WORK_WINDOWS] = 0;
@@ -551,8 +550,8 @@
 		worst_fifo = fmin(worst_fifo, (double)f.got[i] / f.sent[i]);
 	}
 	fprintf(stderr, "seed %llu account: worst served %.3f, fifo %.3f; goodput %.3f; mix %d\n",
-		(unsigned long long)seed, worst, worst_fifo, goodput(&o, WARM_S, 20) / capacity(&sc),
-		sc.mix);
+		(unsigned long long)seed, worst, worst_fifo,
+		goodput(&o, WARM_S, 20) / capacity(&sc), sc.mix);
 	if (worst < 0.9)
 		fail(seed, &sc, "worst-served account", worst, 0.9);
 }
--- a/tests/unit/http_client.c
+++ b/tests/unit/http_client.c
@@ -1,6 +1,6 @@
+#include "common/http_client.h"
 #include "briarreel/error.h"
 #include "common/clock.h"
-#include "common/http_client.h"
 #include "common/http_server.h"
 
 #include <arpa/inet.h>
@@ -29,8 +29,7 @@
 	if (strstr(mg_get_request_info(conn)->local_uri, "slow"))
 		clock_sleep_ms(350);
 	cr_assert_eq(http_server_read_body(conn, 1 << 20, &body, &len), 0);
-	http_server_reply(conn,
-			  &(struct http_reply){.status = 200, .body = body, .body_len = len});
+	http_server_reply(conn, &(struct http_reply){.status = 200, .body = body, .body_len = len});
 	free(body);
 }
 
