Stop CivetWeb from calling localtime() for each request

Cause: http_server set the log_access callback to drop access lines. With that callback CivetWeb formats each line first and calls localtime(), whose static result and time zone names are shared by all worker threads. Change: the callback is not set; no access log file is configured, so CivetWeb then skips the whole function.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -39,9 +39,9 @@
 struct http_server *http_server_create(const struct http_server_config *cfg, http_handler handler,
 				       void *user_data, struct br_error *err)
 {
+	/* With a log_access callback CivetWeb calls localtime() for each request, which races. */
 	struct mg_callbacks callbacks = {.begin_request = begin_request,
-					 .log_message = drop_message,
-					 .log_access = drop_message};
+					 .log_message = drop_message};
 	char workers[16];
 	char keep_alive[16];
 	const char *options[] = {"listening_ports",
