Abort the relay stand-in if a thread cannot be started

Cause: clang-tidy reported a use after free on the path where a thread cannot be started, because it cannot see the references that the caller holds. Change: the relay aborts in that case. Option texts are static, so that LeakSanitizer does not report them when the program ends early.

--- a/standins/relay/main.c
+++ b/standins/relay/main.c
@@ -77,9 +77,9 @@
 
 int main(int argc, const char **argv)
 {
-	char *listen = NULL;
-	char *to = NULL;
-	char *control = NULL;
+	static char *listen;
+	static char *to;
+	static char *control;
 	const struct poptOption table[] = {
 		{"listen", 'l', POPT_ARG_STRING, &listen, 0, "address to listen on", "IP:PORT"},
 		{"to", 't', POPT_ARG_STRING, &to, 0, "address to relay to", "IP:PORT"},
--- a/standins/relay/relay.c
+++ b/standins/relay/relay.c
@@ -200,34 +200,29 @@
 	return NULL;
 }
 
-static bool start_thread(void *(*run)(void *), void *arg)
+static void start_thread(void *(*run)(void *), void *arg)
 {
 	pthread_attr_t attr;
 	pthread_t thread;
-	int ret;
 
 	pthread_attr_init(&attr);
 	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
-	ret = pthread_create(&thread, &attr, run, arg);
+	if (pthread_create(&thread, &attr, run, arg) != 0)
+		abort();
 	pthread_attr_destroy(&attr);
-	return ret == 0;
 }
 
-static bool start_pump(struct conn *c, int from)
+static void start_pump(struct conn *c, int from)
 {
 	struct pump *p = malloc(sizeof(*p));
 
 	if (!p)
-		return false;
+		abort();
 	*p = (struct pump){.conn = c, .from = from};
 	pthread_mutex_lock(&lock);
 	c->threads++;
 	pthread_mutex_unlock(&lock);
-	if (start_thread(run_pump, p))
-		return true;
-	free(p);
-	release(c);
-	return false;
+	start_thread(run_pump, p);
 }
 
 /* Connects to the other side once the mode lets it, then starts both directions. */
@@ -302,8 +297,8 @@
 		pthread_mutex_lock(&lock);
 		c = accept_conn();
 		pthread_mutex_unlock(&lock);
-		if (c && !start_thread(run_conn, c))
-			release(c);
+		if (c)
+			start_thread(run_conn, c);
 	}
 	return arg;
 }
