Fix sanitizer reports of the load driver and platform stand-in

Cause: the AddressSanitizer and UBSan runs reported qsort() on a null array for a stream without answers, and option texts that leaked on an early exit. Change: empty arrays are not sorted and option texts are static. The platform stand-in no longer escapes slashes in JSON, which makes expected output readable.

--- a/standins/load/main.c
+++ b/standins/load/main.c
@@ -339,9 +339,9 @@
 int main(int argc, const char **argv)
 {
 	static struct plan plan;
-	char *to = NULL;
-	char *file = NULL;
-	char *out = NULL;
+	static char *to;
+	static char *file;
+	static char *out;
 	int seed = 1;
 	long max_requests = 1000000;
 	int max_ms = 600000;
--- a/standins/load/tally.c
+++ b/standins/load/tally.c
@@ -119,6 +119,12 @@
 	return (x > y) - (x < y);
 }
 
+static void sort_latencies(struct tally *t)
+{
+	if (t->n_latencies)
+		qsort(t->latencies, t->n_latencies, sizeof(t->latencies[0]), compare_u32);
+}
+
 static uint32_t quantile(const struct tally *t, double q)
 {
 	return t->n_latencies ? t->latencies[(size_t)(q * (double)(t->n_latencies - 1))] : 0;
@@ -151,7 +157,7 @@
 {
 	struct json_object *o = json_object_new_object();
 
-	qsort(t->latencies, t->n_latencies, sizeof(t->latencies[0]), compare_u32);
+	sort_latencies(t);
 	json_object_object_add(o, "phase", json_object_new_string(t->phase));
 	json_object_object_add(o, "stream", json_object_new_string(t->stream));
 	add_u64(o, "requests", t->requests);
@@ -205,7 +211,7 @@
 	for (size_t i = 0; i < n; i++) {
 		struct tally *t = tallies[i];
 
-		qsort(t->latencies, t->n_latencies, sizeof(t->latencies[0]), compare_u32);
+		sort_latencies(t);
 		fprintf(f,
 			"%-12s %-12s %8" PRIu64 " %8" PRIu64 " %8" PRIu64 " %8" PRIu64 " %8" PRIu64
 			" %8" PRIu64 " %8" PRIu64 " %9" PRIu32 " %9" PRIu32 " %9" PRIu32 "\n",
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -62,7 +62,8 @@
 {
 	struct http_header header = {.name = "Content-Type", .value = "application/json"};
 	size_t len;
-	const char *text = json_object_to_json_string_length(obj, JSON_C_TO_STRING_PLAIN, &len);
+	const char *text = json_object_to_json_string_length(
+		obj, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &len);
 	struct http_reply reply = {
 		.status = 200, .headers = &header, .n_headers = 1, .body = text, .body_len = len};
 
@@ -285,7 +286,7 @@
 
 int main(int argc, const char **argv)
 {
-	char *listen = NULL;
+	static char *listen;
 	int workers = 256;
 	int history = 4096;
 	const struct poptOption table[] = {
