Add seeded run of rates over a simulated fleet

Cause: the rate bound must hold under any mix of faults, which unit tests cannot cover. Change: tests/random/rates.c with a reference bucket in true time; pooling of small rates in the grantor's reserve, request pauses that double while a holder has nothing.

--- a/include/briarreel/bucket.h
+++ b/include/briarreel/bucket.h
@@ -53,8 +53,8 @@
  * Debits one token. first is true on the first try for a request and false when a waiting request
  * tries again, so that demand counts it once. On success *valid_until_us is the time until which
  * the token is good: the caller reads the clock again and refuses the request if that time has
- * come. Returns 0; -EAGAIN if there is no token now but more has been or will be asked for (run
- * br_bucket_plan()); -EDQUOT if no holder has more. After -EAGAIN the request counts as waiting until
+ * come. Returns 0; -EAGAIN if there is no token now but one is due within 30 ms or more has been or
+ * will be asked for (run br_bucket_plan()); -EDQUOT if no holder has more. After -EAGAIN the request counts as waiting until
  * a further try returns another value or br_bucket_wait_ended() is called.
  */
 int br_bucket_take(struct br_bucket *b, bool first, uint64_t now_us, uint64_t *valid_until_us);
--- a/lib/bucket.c
+++ b/lib/bucket.c
@@ -9,13 +9,19 @@
 #define WINDOW_DIV 8
 /* After this many empty windows the estimate is 0. */
 #define WINDOWS_MAX 160
-/* Pause before a holder that had nothing more is asked for more again. */
-#define FULL_US (250 * BR_US_PER_MS)
+/*
+ * Pause before a holder that had nothing more is asked for more again; doubles up to the largest
+ * while it has nothing, so that overload does not multiply the requests.
+ */
+#define FULL_US (50 * BR_US_PER_MS)
+#define FULL_MAX_US (800 * BR_US_PER_MS)
 /* Time after which a request without an answer is repeated; doubles up to the largest. */
 #define TIMEOUT_US (300 * BR_US_PER_MS)
 #define TIMEOUT_MAX_US (2400 * BR_US_PER_MS)
 /* Shortest time between requests that only give back what is idle. */
 #define IDLE_US (500 * BR_US_PER_MS)
+/* A token that the bucket mints within this time is worth waiting for (rate_wait_ms). */
+#define SOON_US (30 * BR_US_PER_MS)
 /* Burst kept above the present tokens while a request for more is on its way. */
 #define SLACK_US (20 * BR_US_PER_MS)
 
@@ -42,6 +48,7 @@
 	struct amount asked;
 	/* Until this time the holder counts as having no more than it gave. */
 	uint64_t full_until_us;
+	uint64_t full_pause_us;
 	/* What the node would like to have from this holder, by the last plan. */
 	struct amount share;
 };
@@ -251,9 +258,16 @@
 	return b->demand_mtok_s;
 }
 
-/* True if no holder can be expected to give more at present. */
+/*
+ * True if neither the bucket's own minting, after the requests that wait already, nor any holder
+ * can be expected to give a token soon.
+ */
 static bool exhausted(const struct br_bucket *b, uint64_t now_us)
 {
+	uint64_t soon = br_mint_ntok(b->sum.rate, SOON_US, UINT64_MAX / 2) + b->tokens_ntok;
+
+	if (soon >= (b->waiting + 1) * BR_NTOK_PER_TOKEN)
+		return false;
 	for (size_t i = 0; i < b->n; i++) {
 		const struct holder *h = &b->holders[i];
 
@@ -299,7 +313,7 @@
 
 	if (!demand && !b->waiting && !b->arrivals)
 		return (struct amount){0};
-	out.rate = demand + demand / 4 + 2 * b->waiting * BR_MTOK_PER_TOKEN;
+	out.rate = demand + demand / 16 + 2 * b->waiting * BR_MTOK_PER_TOKEN;
 	/* Room for uneven arrivals: a quarter of a second, and two tokens where demand is low. */
 	out.burst = BR_NTOK_PER_TOKEN + br_mint_ntok(demand, BR_US_PER_S / 4, UINT64_MAX / 2);
 	if (demand >= BR_MTOK_PER_TOKEN)
@@ -458,6 +472,21 @@
 	return 0;
 }
 
+/* Notes whether the holder has less than this node needs. */
+static void note_full(const struct br_bucket *b, struct holder *h, const struct br_lease_rep *rep,
+		      uint64_t now_us)
+{
+	bool is_short = rep->rate_mtok_s < h->asked.rate - h->asked.rate / 16 ||
+			rep->burst_ntok < h->asked.burst / 2 || b->tokens_ntok < BR_NTOK_PER_TOKEN;
+
+	if (!rep->nothing_free || !is_short)
+		h->full_pause_us = 0;
+	if (!is_short)
+		return;
+	h->full_pause_us = min_u64(max_u64(2 * h->full_pause_us, FULL_US), FULL_MAX_US);
+	h->full_until_us = now_us + h->full_pause_us;
+}
+
 int br_bucket_apply(struct br_bucket *b, const struct br_bucket_holder *holder,
 		    const struct br_lease_rep *rep, uint64_t now_us)
 {
@@ -474,13 +503,11 @@
 	if (now_us < h->until_us)
 		h->lease = (struct amount){.rate = rep->rate_mtok_s, .burst = rep->burst_ntok};
 	h->renew_us = h->sent_us + (rep->contended ? rep->term_us / 8 : rep->term_us / 2);
-	if (rep->nothing_free || rep->rate_mtok_s < h->asked.rate - h->asked.rate / 16 ||
-	    rep->burst_ntok < h->asked.burst / 2)
-		h->full_until_us = now_us + FULL_US;
 	/* The tokens are cut to the new cap before those that came with the answer are added. */
 	sum_leases(b);
 	if (now_us < h->until_us)
 		b->tokens_ntok = min_u64(b->tokens_ntok + rep->granted_ntok, cap(b));
+	note_full(b, h, rep, now_us);
 	return 0;
 }
 
--- a/lib/grantor.c
+++ b/lib/grantor.c
@@ -12,9 +12,16 @@
 #define LEVEL_US (10 * BR_US_PER_MS)
 /* Where nodes outnumber tokens: time a node may keep its token, then time it yields to others. */
 #define TURN_US (250 * BR_US_PER_MS)
-/* Parts of rate and burst that leases do not grow into, so that a newcomer finds some free. */
-#define FREE_RATE_DIV 64
+/* Part of the burst that leases do not grow into, so that a newcomer finds some free. */
 #define FREE_BURST_DIV 8
+/*
+ * Rate that is not leased. Its tokens gather in the reserve, where any node that runs short finds
+ * them; small rates profit most from this pooling, so they keep up to half. When nodes want clearly
+ * more than there is, the pool would favour the quickest, so nearly all is leased, by fair level.
+ */
+#define FREE_RATE_DIV 16
+#define FREE_RATE_MTOK_S (4 * BR_MTOK_PER_TOKEN)
+#define FREE_RATE_OVERLOAD_DIV 64
 
 struct amount {
 	uint64_t rate;
@@ -52,6 +59,8 @@
 	uint64_t next_end_us;
 	struct amount level;
 	uint64_t level_us;
+	/* What leases do not grow into. */
+	struct amount spare;
 };
 
 struct br_grantor {
@@ -343,19 +352,35 @@
 	return level;
 }
 
-static uint64_t free_burst(const struct account *a)
+static uint64_t spare_burst(const struct account *a)
 {
 	if (a->ent.burst < 2 * BR_NTOK_PER_TOKEN)
 		return 0;
 	return max_u64(BR_NTOK_PER_TOKEN, a->ent.burst / FREE_BURST_DIV);
 }
 
+static uint64_t spare_rate(const struct account *a)
+{
+	uint64_t rate = a->ent.rate;
+	uint64_t want = 0;
+
+	for (size_t h = 0; h < HEADS; h++) {
+		for (const struct lease *l = a->heads[h]; l; l = l->next)
+			want += min_u64(l->want.rate, rate);
+	}
+	/* Wants overlap, as nodes ask several holders for the same need. */
+	if (want > 3 * rate)
+		return rate / FREE_RATE_OVERLOAD_DIV;
+	return min_u64(rate / 2, rate / FREE_RATE_DIV + FREE_RATE_MTOK_S);
+}
+
 static void update_level(struct account *a, uint64_t now_us)
 {
 	if (a->n > LEVEL_LEASES && a->level_us && now_us < a->level_us + LEVEL_US)
 		return;
-	a->level.rate = fair_level(a, a->ent.rate - a->ent.rate / FREE_RATE_DIV, false);
-	a->level.burst = fair_level(a, a->ent.burst - free_burst(a), true);
+	a->spare = (struct amount){.rate = spare_rate(a), .burst = spare_burst(a)};
+	a->level.rate = fair_level(a, a->ent.rate - a->spare.rate, false);
+	a->level.burst = fair_level(a, a->ent.burst - a->spare.burst, true);
 	a->level_us = now_us;
 }
 
@@ -390,8 +415,8 @@
 	uint64_t others_burst = a->bound.burst - l->bound.burst;
 
 	if (!newcomer) {
-		others_rate += a->ent.rate / FREE_RATE_DIV;
-		others_burst += free_burst(a);
+		others_rate += a->spare.rate;
+		others_burst += a->spare.burst;
 	}
 	return (struct amount){
 		.rate = max_u64(l->alloc.rate, less(a->ent.rate, others_rate)),
--- /dev/null
+++ b/tests/random/rates.c
@@ -0,0 +1,633 @@
+/*
+ * Seeded runs of slots, grantors and buckets over a simulated fleet and platform. A reference
+ * token bucket in true time fails the run when the fleet admits more than rate and burst allow.
+ * BR_SEED runs one seed; BR_DURATION_S goes on with further seeds for that long.
+ */
+#include "tests/random/rates_sim.h"
+
+static const struct rate *rate_of(const struct sim *s, const struct node *n, int a)
+{
+	return &s->versions[n->version].rate[a];
+}
+
+static void refresh_entitlements(struct sim *s, struct node *n)
+{
+	uint64_t now = local(s, n);
+
+	br_grantor_set_valid_until(n->grantor, br_slots_right_until(n->slots));
+	for (int a = 0; a < ACCOUNTS; a++) {
+		const struct rate *r = rate_of(s, n, a);
+		const struct br_slot_set *set = &s->versions[n->version].slots[a];
+		struct br_slot_part sum = {0};
+
+		for (uint32_t i = 0; i < s->n_slots; i++) {
+			struct br_slot_part p = br_slot_part_of(
+				set, i, r->rate_mtok_s, r->burst_tokens * BR_NTOK_PER_TOKEN);
+
+			if (!br_slots_may_grant(n->slots, i, now))
+				continue;
+			sum.rate_mtok_s += p.rate_mtok_s;
+			sum.burst_ntok += p.burst_ntok;
+		}
+		br_grantor_set_entitlement(n->grantor, account_names[a], sum.rate_mtok_s,
+					   sum.burst_ntok, now);
+	}
+}
+
+static void ask_holders(struct sim *s, int i, int a)
+{
+	struct node *n = &s->nodes[i];
+	struct br_bucket_holder out[SLOTS_MAX];
+	size_t count = br_bucket_plan(n->buckets[a], local(s, n), out, SLOTS_MAX);
+
+	for (size_t k = 0; k < count; k++) {
+		struct ev *e;
+		int to;
+
+		for (to = 0; to < s->n_nodes; to++) {
+			if (br_node_id_equal(&s->nodes[to].id, &out[k].node))
+				break;
+		}
+		if (to == s->n_nodes)
+			continue;
+		e = make_ev(s, EV_REQ, to);
+		e->incarnation = 0;
+		e->peer = i;
+		e->account = a;
+		e->holder = out[k];
+		br_bucket_make_request(n->buckets[a], &out[k], local(s, n), &e->req);
+		send_msg(s, e, i);
+	}
+}
+
+static void list_holders(struct sim *s, struct node *n, int a)
+{
+	const struct rate *r = rate_of(s, n, a);
+	struct br_bucket_holder list[SLOTS_MAX] = {0};
+	const struct br_slot_set *set = &s->versions[n->version].slots[a];
+	size_t count = 0;
+
+	br_bucket_set_limits(n->buckets[a], r->rate_mtok_s, r->burst_tokens * BR_NTOK_PER_TOKEN,
+			     br_slot_set_count(set), local(s, n));
+	for (uint32_t i = 0; i < s->n_slots; i++) {
+		const struct br_slot_holder *h = br_slots_holder(n->slots, i);
+		size_t k = 0;
+
+		if (!h || !br_slot_set_has(set, i))
+			continue;
+		while (k < count && !(br_node_id_equal(&list[k].node, &h->node) &&
+				      list[k].incarnation == h->incarnation))
+			k++;
+		if (k == count)
+			list[count++] = (struct br_bucket_holder){
+				.node = h->node,
+				.incarnation = h->incarnation,
+				.own_zone = strcmp(h->zone, n->zone) == 0,
+			};
+		list[k].slots++;
+	}
+	br_bucket_set_holders(n->buckets[a], list, count, local(s, n));
+}
+
+static void tick_slots(struct sim *s, int i)
+{
+	struct node *n = &s->nodes[i];
+	struct br_slot_member members[NODES_MAX];
+	struct br_slot_view view = {
+		.members = members,
+		.zones = zone_names,
+		.n_zones = ZONES,
+		.retired = s->retired,
+		.n_retired = s->n_retired,
+		.n_slots = s->n_slots,
+	};
+	struct br_slot_op op;
+
+	for (int k = 0; k < s->n_nodes; k++) {
+		const struct node *m = &s->nodes[k];
+
+		if (!m->alive || m->stopping || s->blocked[m->zone_no][n->zone_no])
+			continue;
+		members[view.n_members].node = m->id;
+		members[view.n_members].incarnation = m->incarnation;
+		br_copy_text(members[view.n_members++].zone, BR_NAME_BYTES, m->zone);
+	}
+	while (br_slots_tick(n->slots, &view, local(s, n), &op))
+		send_op(s, i, &op);
+}
+
+static void gossip(struct sim *s, int i)
+{
+	int to = (int)rnd(s, (uint64_t)s->n_nodes);
+	struct ev *e = make_ev(s, EV_GOSSIP, to);
+
+	e->incarnation = 0;
+	e->entries = calloc(SLOTS_MAX, sizeof(*e->entries));
+	cr_assert(e->entries);
+	for (uint32_t k = 0; k < s->n_slots; k++) {
+		const struct br_slot_holder *h = br_slots_entry(s->nodes[i].slots, k);
+
+		if (h)
+			e->entries[k] = *h;
+	}
+	send_msg(s, e, i);
+}
+
+static void stop_node(struct node *n)
+{
+	if (!n->alive)
+		return;
+	br_slots_destroy(n->slots);
+	br_grantor_destroy(n->grantor);
+	for (int a = 0; a < ACCOUNTS; a++)
+		br_bucket_destroy(n->buckets[a]);
+	n->alive = false;
+}
+
+static void start_node(struct sim *s, int i)
+{
+	struct node *n = &s->nodes[i];
+	struct br_slots_config sc = {.ttl_us = TTL_US, .lease_term_us = TERM_US};
+	struct br_grantor_config gc = {.lease_term_us = TERM_US,
+				       .rate_margin_ppm = BR_GRANTOR_RATE_MARGIN_PPM};
+
+	n->zone_no = i % ZONES;
+	br_copy_text(n->zone, sizeof(n->zone), zone_names[n->zone_no]);
+	snprintf(n->id.text, sizeof(n->id.text), "10.0.0.%d:%d", i, 7000 + n->generation);
+	n->incarnation = s->now_us + 1000 + (uint64_t)i;
+	n->alive = true;
+	n->stopping = false;
+	n->paused_until_us = 0;
+	n->version = s->n_versions - 1;
+	sc.self = n->id;
+	sc.incarnation = n->incarnation;
+	gc.incarnation = n->incarnation;
+	br_copy_text(sc.zone, sizeof(sc.zone), n->zone);
+	n->slots = br_slots_create(&sc);
+	n->grantor = br_grantor_create(&gc);
+	for (int a = 0; a < ACCOUNTS; a++) {
+		struct br_bucket_config bc = {.self = n->id, .incarnation = n->incarnation};
+
+		br_copy_text(bc.account, sizeof(bc.account), account_names[a]);
+		n->buckets[a] = br_bucket_create(&bc);
+	}
+	push(s, make_ev(s, EV_TICK, i), s->now_us + rnd(s, 50 * MS));
+}
+
+static void split_rates(struct sim *s, struct version *v)
+{
+	for (int a = 0; a < ACCOUNTS; a++)
+		br_slots_of_account(account_names[a], v->rate[a].burst_tokens, s->n_slots,
+				    &v->slots[a]);
+}
+
+/*
+ * The rate that the fleet may use now. While nodes use several versions it is their maximum, or
+ * their sum if the split over slots differs, because then the parts are not comparable.
+ */
+static struct rate allowed(const struct sim *s, int a)
+{
+	struct rate out = {0};
+	uint32_t slots = 0;
+
+	for (int v = 0; v < s->n_versions; v++) {
+		const struct rate *r = &s->versions[v].rate[a];
+		uint32_t count = br_slot_set_count(&s->versions[v].slots[a]);
+
+		if (v < s->n_versions - 1 && s->now_us > s->versions[v].used_us + TERM_US * 11 / 10)
+			continue;
+		if (slots && slots != count) {
+			out.rate_mtok_s += r->rate_mtok_s;
+			out.burst_tokens += r->burst_tokens;
+			continue;
+		}
+		slots = count;
+		if (r->rate_mtok_s > out.rate_mtok_s)
+			out.rate_mtok_s = r->rate_mtok_s;
+		if (r->burst_tokens > out.burst_tokens)
+			out.burst_tokens = r->burst_tokens;
+	}
+	return out;
+}
+
+/* Adds what the reference mints up to now, then takes over a changed rate. */
+static void update_reference(struct sim *s)
+{
+	for (int v = 0; v < s->n_versions - 1; v++) {
+		for (int i = 0; i < s->n_nodes; i++) {
+			if (s->nodes[i].alive && s->nodes[i].version <= v)
+				s->versions[v].used_us = s->now_us;
+		}
+	}
+	for (int a = 0; a < ACCOUNTS; a++) {
+		struct reference *r = &s->ref[a];
+		struct rate now = allowed(s, a);
+		uint64_t cap = r->rate.burst_tokens * BR_NTOK_PER_TOKEN;
+
+		r->tokens += br_mint_ntok(r->rate.rate_mtok_s, s->now_us - r->at_us,
+					  cap > r->tokens ? cap - r->tokens : 0);
+		r->at_us = s->now_us;
+		/* A larger burst may be full already: parts of both versions can be in use. */
+		if (now.burst_tokens > r->rate.burst_tokens)
+			r->tokens += (now.burst_tokens - r->rate.burst_tokens) * BR_NTOK_PER_TOKEN;
+		r->rate = now;
+		cap = now.burst_tokens * BR_NTOK_PER_TOKEN;
+		r->tokens = r->tokens < cap ? r->tokens : cap;
+	}
+}
+
+static void admit(struct sim *s, int i, int a)
+{
+	struct reference *r = &s->ref[a];
+
+	update_reference(s);
+	if (r->tokens < BR_NTOK_PER_TOKEN && !s->failure[0])
+		snprintf(s->failure, sizeof(s->failure),
+			 "account %s: node %d admitted at %.6f s with %.3f tokens left",
+			 account_names[a], i, (double)s->now_us / SEC,
+			 (double)r->tokens / BR_NTOK_PER_TOKEN);
+	r->tokens -= r->tokens < BR_NTOK_PER_TOKEN ? r->tokens : BR_NTOK_PER_TOKEN;
+	if (s->now_us >= s->measure_us)
+		s->admitted[a]++;
+}
+
+static void try_take(struct sim *s, int i, int a, bool first, uint64_t deadline_us)
+{
+	struct node *n = &s->nodes[i];
+	uint64_t valid;
+	int rc = br_bucket_take(n->buckets[a], first, local(s, n), &valid);
+	struct ev *e;
+
+	if (rc == 0) {
+		if (!s->faults || rnd(s, 500)) {
+			admit(s, i, a);
+			return;
+		}
+		/* The process is paused between the debit and the second look at the clock. */
+		n->paused_until_us = s->now_us + rnd(s, 3 * TERM_US);
+		e = make_ev(s, EV_CONFIRM, i);
+		e->time_us = valid;
+		e->account = a;
+		push(s, e, n->paused_until_us);
+		return;
+	}
+	if (rc != -EAGAIN)
+		return;
+	ask_holders(s, i, a);
+	if (s->now_us >= deadline_us) {
+		br_bucket_wait_ended(n->buckets[a]);
+		return;
+	}
+	e = make_ev(s, EV_RETRY, i);
+	e->account = a;
+	e->time_us = deadline_us;
+	push(s, e, s->now_us + 5 * MS);
+}
+
+static void on_arrival(struct sim *s, struct ev *e)
+{
+	struct reference *r = &s->ref[e->account];
+	struct rate rate = s->versions[s->n_versions - 1].rate[e->account];
+	uint64_t cap = rate.burst_tokens * BR_NTOK_PER_TOKEN;
+	int i = rnd(s, 100) < s->skew ? 0 : (int)rnd(s, (uint64_t)s->n_nodes);
+	struct ev *next = make_ev(s, EV_ARRIVAL, -1);
+	uint64_t gap = SEC * BR_MTOK_PER_TOKEN / s->demand_mtok_s[e->account];
+
+	next->account = e->account;
+	push(s, next, s->now_us + gap / 2 + rnd(s, gap + 1));
+	r->ideal_tokens += br_mint_ntok(rate.rate_mtok_s, s->now_us - r->ideal_at_us,
+					cap > r->ideal_tokens ? cap - r->ideal_tokens : 0);
+	r->ideal_at_us = s->now_us;
+	if (r->ideal_tokens >= BR_NTOK_PER_TOKEN) {
+		r->ideal_tokens -= BR_NTOK_PER_TOKEN;
+		s->within += s->now_us >= s->measure_us;
+	}
+	if (s->nodes[i].alive && s->now_us >= s->nodes[i].paused_until_us)
+		try_take(s, i, e->account, true, s->now_us + WAIT_US);
+}
+
+static void on_tick(struct sim *s, int i)
+{
+	struct node *n = &s->nodes[i];
+
+	tick_slots(s, i);
+	refresh_entitlements(s, n);
+	br_grantor_tick(n->grantor, local(s, n));
+	for (int a = 0; a < ACCOUNTS; a++) {
+		list_holders(s, n, a);
+		ask_holders(s, i, a);
+	}
+	if (!rnd(s, 4))
+		gossip(s, i);
+	push(s, make_ev(s, EV_TICK, i), s->now_us + 50 * MS);
+	if (n->stopping && (br_slots_released(n->slots) || s->now_us > n->stop_us + 5 * SEC)) {
+		stop_node(n);
+		push(s, make_ev(s, EV_START, -1 - i), s->now_us + rnd(s, 2 * SEC));
+	}
+}
+
+static void on_req(struct sim *s, struct ev *e)
+{
+	struct node *n = &s->nodes[e->node];
+	struct ev *r = make_ev(s, EV_REP, e->peer);
+
+	r->incarnation = 0;
+	r->account = e->account;
+	r->holder = e->holder;
+	if (br_grantor_request(n->grantor, &e->req, local(s, n), &r->rep))
+		free_ev(r);
+	else
+		send_msg(s, r, e->node);
+}
+
+static void on_result(struct sim *s, struct ev *e)
+{
+	struct node *n = &s->nodes[e->node];
+	const struct stored *k = e->keys ? &e->keys[e->op->slot] : NULL;
+	struct br_slot_result res = {.status = e->status, .lease_id = e->lease_id};
+
+	if (k && e->status != BR_SLOT_UNKNOWN) {
+		res.present = k->present;
+		res.mod_rev = k->present ? k->rev : 0;
+		res.value = k->present ? k->value : NULL;
+		res.value_len = strlen(k->value);
+	}
+	for (uint32_t i = 0;
+	     e->op->kind == BR_SLOT_OP_LIST && res.status == BR_SLOT_OK && i < s->n_slots; i++) {
+		if (e->keys[i].present)
+			br_slots_observe(n->slots, i, e->keys[i].value, strlen(e->keys[i].value),
+					 e->keys[i].rev, local(s, n));
+	}
+	br_slots_result(n->slots, e->op, &res, local(s, n));
+	refresh_entitlements(s, n);
+}
+
+/* Kills a process. It restarts at the same id, or at a new one with the old one retired. */
+static void kill_node(struct sim *s, int i)
+{
+	struct node *n = &s->nodes[i];
+
+	if (!n->alive)
+		return;
+	if (rnd(s, 2) && s->n_retired < 64) {
+		struct ev *e = make_ev(s, EV_RETIRE, -1);
+
+		e->holder.node = n->id;
+		e->holder.incarnation = n->incarnation;
+		push(s, e, s->now_us + rnd(s, 4 * SEC));
+		n->generation++;
+	}
+	stop_node(n);
+	push(s, make_ev(s, EV_START, -1 - i), s->now_us + rnd(s, 3 * SEC));
+}
+
+static void change_rates(struct sim *s)
+{
+	struct version *v = &s->versions[s->n_versions];
+
+	if (s->n_versions == VERSIONS_MAX)
+		return;
+	update_reference(s);
+	*v = s->versions[s->n_versions - 1];
+	s->versions[s->n_versions - 1].used_us = s->now_us;
+	v->rate[0].rate_mtok_s = 10000 + rnd(s, 100000);
+	if (!rnd(s, 3))
+		v->rate[1].burst_tokens = 2 + rnd(s, 40);
+	split_rates(s, v);
+	s->n_versions++;
+	for (int i = 0; i < s->n_nodes; i++)
+		push(s, make_ev(s, EV_CONFIG, i), s->now_us + rnd(s, 300 * MS));
+	update_reference(s);
+}
+
+static void on_fault(struct sim *s)
+{
+	int i = (int)rnd(s, (uint64_t)s->n_nodes);
+	struct node *n = &s->nodes[i];
+
+	push(s, make_ev(s, EV_FAULT, -1), s->now_us + rnd(s, 3 * SEC));
+	switch (rnd(s, 9)) {
+	case 0:
+	case 1:
+		kill_node(s, i);
+		return;
+	case 2:
+	case 3:
+		n->paused_until_us =
+			s->now_us + (rnd(s, 4) ? rnd(s, 3 * TERM_US) : rnd(s, 16 * SEC));
+		return;
+	case 4:
+		s->platform_down = true;
+		break;
+	case 5:
+		for (int k = 0; k < s->n_nodes; k++)
+			s->nodes[k].plat_blocked |= s->nodes[k].zone_no == n->zone_no;
+		break;
+	case 6:
+		for (int z = 0; z < ZONES; z++) {
+			s->blocked[n->zone_no][z] = z != n->zone_no;
+			s->blocked[z][n->zone_no] = z != n->zone_no && rnd(s, 2);
+		}
+		break;
+	case 7:
+		if (n->alive && !n->stopping) {
+			n->stopping = true;
+			n->stop_us = s->now_us;
+			br_slots_release_all(n->slots, local(s, n));
+			refresh_entitlements(s, n);
+		}
+		return;
+	default:
+		change_rates(s);
+		return;
+	}
+	push(s, make_ev(s, EV_HEAL, -1),
+	     s->now_us + (rnd(s, 3) ? rnd(s, 4 * SEC) : rnd(s, 15 * SEC)));
+}
+
+static void heal(struct sim *s)
+{
+	s->platform_down = false;
+	memset(s->blocked, 0, sizeof(s->blocked));
+	for (int i = 0; i < s->n_nodes; i++)
+		s->nodes[i].plat_blocked = false;
+}
+
+static void on_config(struct sim *s, int i)
+{
+	struct node *n = &s->nodes[i];
+	int z = n->zone_no;
+
+	/* A partitioned zone learns of the change when it is healed. */
+	if (s->blocked[(z + 1) % ZONES][z] || s->blocked[(z + 2) % ZONES][z]) {
+		push(s, make_ev(s, EV_CONFIG, i), s->now_us + 100 * MS);
+		return;
+	}
+	update_reference(s);
+	n->version = s->n_versions - 1;
+	refresh_entitlements(s, n);
+	for (int a = 0; a < ACCOUNTS; a++)
+		list_holders(s, n, a);
+}
+
+static void on_node_event(struct sim *s, struct ev *e)
+{
+	struct node *n = &s->nodes[e->node];
+	int a = e->account;
+
+	switch (e->kind) {
+	case EV_TICK:
+		on_tick(s, e->node);
+		break;
+	case EV_RETRY:
+		try_take(s, e->node, a, false, e->time_us);
+		break;
+	case EV_CONFIRM:
+		if (local(s, n) < e->time_us)
+			admit(s, e->node, a);
+		break;
+	case EV_REQ:
+		on_req(s, e);
+		break;
+	case EV_REP:
+		br_bucket_apply(n->buckets[a], &e->holder, &e->rep, local(s, n));
+		break;
+	case EV_GOSSIP:
+		for (uint32_t k = 0; k < s->n_slots; k++)
+			br_slots_merge(n->slots, k, &e->entries[k]);
+		break;
+	case EV_RESULT:
+		on_result(s, e);
+		break;
+	default:
+		on_config(s, e->node);
+		break;
+	}
+}
+
+static void step(struct sim *s)
+{
+	struct ev *e = pop(s);
+	struct node *n = e->node >= 0 ? &s->nodes[e->node] : NULL;
+
+	s->now_us = e->at_us;
+	if (e->kind == EV_ARRIVAL) {
+		on_arrival(s, e);
+	} else if (e->kind == EV_EFFECT) {
+		on_effect(s, e);
+	} else if (e->kind == EV_FAULT) {
+		on_fault(s);
+	} else if (e->kind == EV_HEAL) {
+		heal(s);
+	} else if (e->kind == EV_RETIRE) {
+		s->retired[s->n_retired++] =
+			(struct br_slot_retired){e->holder.node, e->holder.incarnation};
+	} else if (e->kind == EV_START) {
+		start_node(s, -1 - e->node);
+	} else if (n->alive && (!e->incarnation || e->incarnation == n->incarnation)) {
+		if (s->now_us < n->paused_until_us) {
+			push(s, e, n->paused_until_us);
+			return;
+		}
+		on_node_event(s, e);
+	}
+	free_ev(e);
+}
+
+static void prepare(struct sim *s, uint64_t seed, bool faults)
+{
+	static const uint32_t slot_counts[] = {4, 12, 24};
+
+	memset(s, 0, sizeof(*s));
+	br_rng_seed(&s->rng, seed);
+	s->faults = faults;
+	s->end_us = faults ? 25 * SEC : 16 * SEC;
+	s->measure_us = 8 * SEC;
+	s->n_nodes = 3 + (int)rnd(s, 4);
+	s->n_slots = slot_counts[rnd(s, 3)];
+	s->skew = rnd(s, 2) ? 90 : 0;
+	s->n_versions = 1;
+	s->versions[0].rate[0] = (struct rate){20000 + rnd(s, 60000), 10 + rnd(s, 60)};
+	s->versions[0].rate[1] = (struct rate){5000 + rnd(s, 20000), 1 + rnd(s, 30)};
+	for (int a = 0; a < ACCOUNTS; a++) {
+		struct ev *e = make_ev(s, EV_ARRIVAL, -1);
+		struct rate *r = &s->versions[0].rate[a];
+
+		if (!faults)
+			r->burst_tokens += 8 * (uint64_t)s->n_nodes;
+		s->demand_mtok_s[a] = faults ? r->rate_mtok_s * (1 + rnd(s, 4))
+					     : r->rate_mtok_s * (50 + rnd(s, 41)) / 100;
+		s->ref[a].rate = *r;
+		s->ref[a].tokens = r->burst_tokens * BR_NTOK_PER_TOKEN;
+		e->account = a;
+		push(s, e, 0);
+	}
+	split_rates(s, &s->versions[0]);
+	for (int i = 0; i < s->n_nodes; i++) {
+		s->nodes[i].offset_us = rnd(s, 1000 * SEC);
+		s->nodes[i].ppm = (int64_t)rnd(s, 20001) - 10000;
+		start_node(s, i);
+	}
+	if (faults)
+		push(s, make_ev(s, EV_FAULT, -1), 3 * SEC);
+}
+
+static bool run_seed(uint64_t seed, bool faults)
+{
+	struct sim *s = malloc(sizeof(*s));
+	uint64_t sum;
+
+	cr_assert(s);
+	prepare(s, seed, faults);
+	while (s->heap[0]->at_us < s->end_us && !s->failure[0])
+		step(s);
+	sum = s->admitted[0] + s->admitted[1];
+	if (!s->failure[0] && !faults && sum * 100 < s->within * 99)
+		snprintf(s->failure, sizeof(s->failure),
+			 "admitted %lu of %lu requests that are within the rate",
+			 (unsigned long)sum, (unsigned long)s->within);
+	if (!s->failure[0] && !sum)
+		snprintf(s->failure, sizeof(s->failure), "nothing was admitted");
+	if (s->failure[0])
+		fprintf(stderr, "seed %lu: %s; repeat: BR_SEED=%lu test_rates --filter rates/%s\n",
+			(unsigned long)seed, s->failure, (unsigned long)seed,
+			faults ? "never_exceeds" : "admits_what_is_within");
+	faults = !s->failure[0];
+	for (int i = 0; i < s->n_nodes; i++)
+		stop_node(&s->nodes[i]);
+	while (s->n_heap)
+		free_ev(pop(s));
+	free(s->heap);
+	free(s);
+	return faults;
+}
+
+static void run_seeds(uint64_t count, bool faults)
+{
+	const char *one = getenv("BR_SEED");
+	const char *duration = getenv("BR_DURATION_S");
+	time_t end = time(NULL) + (duration ? atol(duration) : 0);
+	uint64_t failed = 0;
+	uint64_t seed = 1;
+
+	if (one) {
+		cr_assert(run_seed(strtoull(one, NULL, 10), faults));
+		return;
+	}
+	for (; seed <= count || time(NULL) < end; seed++)
+		failed += !run_seed(seed, faults);
+	cr_assert_eq(failed, 0, "%lu of %lu seeds failed", (unsigned long)failed,
+		     (unsigned long)seed - 1);
+}
+
+/* Guards against admissions beyond rate * t + burst under any mix of faults. */
+Test(rates, never_exceeds)
+{
+	run_seeds(160, true);
+}
+
+/* Guards against wrongful refusals: without faults 99% of the demand within the rate passes. */
+Test(rates, admits_what_is_within)
+{
+	run_seeds(40, false);
+}
--- /dev/null
+++ b/tests/random/rates_sim.h
@@ -0,0 +1,353 @@
+/**
+ * @file rates_sim.h
+ * Event queue, messages, clocks and stand-in platform store of the randomised run of rates.c.
+ */
+#ifndef TESTS_RANDOM_RATES_SIM_H
+#define TESTS_RANDOM_RATES_SIM_H
+
+#include "briarreel/bucket.h"
+#include "briarreel/grantor.h"
+#include "briarreel/slot.h"
+
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define MS BR_US_PER_MS
+#define SEC BR_US_PER_S
+#define NODES_MAX 8
+#define ZONES 3
+#define ACCOUNTS 2
+#define SLOTS_MAX 24
+#define TERM_US SEC
+#define TTL_US (12 * SEC)
+#define WAIT_US (30 * MS)
+#define VERSIONS_MAX 64
+
+enum ev_kind {
+	EV_TICK,
+	EV_ARRIVAL,
+	EV_RETRY,
+	EV_CONFIRM,
+	EV_REQ,
+	EV_REP,
+	EV_GOSSIP,
+	EV_EFFECT,
+	EV_RESULT,
+	EV_CONFIG,
+	EV_FAULT,
+	EV_START,
+	EV_HEAL,
+	EV_RETIRE,
+};
+
+struct stored {
+	bool present;
+	uint64_t rev;
+	uint64_t lease;
+	char value[BR_SLOT_VALUE_BYTES];
+};
+
+struct ev {
+	uint64_t at_us;
+	uint64_t order;
+	enum ev_kind kind;
+	/* The event is void if the process with this incarnation is gone; 0 fits any. */
+	int node;
+	uint64_t incarnation;
+	int peer;
+	int account;
+	uint64_t time_us;
+	struct br_bucket_holder holder;
+	struct br_lease_req req;
+	struct br_lease_rep rep;
+	struct br_slot_op *op;
+	enum br_slot_status status;
+	uint64_t lease_id;
+	struct br_slot_holder *entries;
+	struct stored *keys;
+};
+
+struct node {
+	struct br_node_id id;
+	char zone[BR_NAME_BYTES];
+	int zone_no;
+	int generation;
+	bool alive;
+	bool stopping;
+	uint64_t stop_us;
+	uint64_t incarnation;
+	uint64_t offset_us;
+	int64_t ppm;
+	uint64_t paused_until_us;
+	bool plat_blocked;
+	int version;
+	struct br_slots *slots;
+	struct br_grantor *grantor;
+	struct br_bucket *buckets[ACCOUNTS];
+};
+
+struct rate {
+	uint64_t rate_mtok_s;
+	uint64_t burst_tokens;
+};
+
+struct version {
+	struct rate rate[ACCOUNTS];
+	struct br_slot_set slots[ACCOUNTS];
+	/* Last true time at which a live node used this version or an older one. */
+	uint64_t used_us;
+};
+
+struct reference {
+	uint64_t tokens;
+	uint64_t at_us;
+	struct rate rate;
+	uint64_t ideal_tokens;
+	uint64_t ideal_at_us;
+};
+
+struct sim {
+	struct br_rng rng;
+	uint64_t now_us;
+	uint64_t end_us;
+	bool faults;
+	struct ev **heap;
+	size_t n_heap, cap_heap;
+	uint64_t order;
+	struct node nodes[NODES_MAX];
+	int n_nodes;
+	uint32_t n_slots;
+	bool blocked[ZONES][ZONES];
+	struct stored keys[SLOTS_MAX];
+	uint64_t rev;
+	uint64_t lease_end_us[4096];
+	uint32_t n_leases;
+	bool platform_down;
+	struct br_slot_retired retired[64];
+	size_t n_retired;
+	struct version versions[VERSIONS_MAX];
+	int n_versions;
+	struct reference ref[ACCOUNTS];
+	/* Demand a second over the fleet and the share of it that node 0 gets, in percent. */
+	uint64_t demand_mtok_s[ACCOUNTS];
+	uint64_t skew;
+	/* Counted after the start-up time; within: what an ideal central bucket would admit. */
+	uint64_t measure_us, within, admitted[ACCOUNTS];
+	char failure[160];
+};
+
+static const char *const account_names[ACCOUNTS] = {"freight", "audit"};
+static const char *const zone_names[ZONES] = {"a", "b", "c"};
+
+static uint64_t rnd(struct sim *s, uint64_t limit)
+{
+	return br_rng_below(&s->rng, limit);
+}
+
+static bool before(const struct ev *a, const struct ev *b)
+{
+	return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
+}
+
+static void push(struct sim *s, struct ev *e, uint64_t at_us)
+{
+	size_t i = s->n_heap++;
+
+	if (s->n_heap > s->cap_heap) {
+		s->cap_heap = s->cap_heap ? 2 * s->cap_heap : 256;
+		s->heap = realloc(s->heap, s->cap_heap * sizeof(*s->heap));
+		cr_assert(s->heap);
+	}
+	e->at_us = at_us;
+	e->order = s->order++;
+	for (; i && before(e, s->heap[(i - 1) / 2]); i = (i - 1) / 2)
+		s->heap[i] = s->heap[(i - 1) / 2];
+	s->heap[i] = e;
+}
+
+static struct ev *pop(struct sim *s)
+{
+	struct ev *top = s->heap[0];
+	struct ev *last = s->heap[--s->n_heap];
+	size_t i = 0;
+
+	for (;;) {
+		size_t c = 2 * i + 1;
+
+		if (c >= s->n_heap)
+			break;
+		if (c + 1 < s->n_heap && before(s->heap[c + 1], s->heap[c]))
+			c++;
+		if (!before(s->heap[c], last))
+			break;
+		s->heap[i] = s->heap[c];
+		i = c;
+	}
+	if (s->n_heap)
+		s->heap[i] = last;
+	return top;
+}
+
+static struct ev *make_ev(struct sim *s, enum ev_kind kind, int node)
+{
+	struct ev *e = calloc(1, sizeof(*e));
+
+	cr_assert(e);
+	e->kind = kind;
+	e->node = node;
+	e->incarnation = node >= 0 ? s->nodes[node].incarnation : 0;
+	return e;
+}
+
+static struct br_slot_op *copy_op(const struct br_slot_op *op)
+{
+	struct br_slot_op *copy = malloc(sizeof(*copy));
+
+	cr_assert(copy);
+	*copy = *op;
+	return copy;
+}
+
+static void free_ev(struct ev *e)
+{
+	free(e->op);
+	free(e->entries);
+	free(e->keys);
+	free(e);
+}
+
+/* Node clocks have an offset and a rate error of their own. */
+static uint64_t local(const struct sim *s, const struct node *n)
+{
+	return n->offset_us + s->now_us + (uint64_t)((int64_t)s->now_us * n->ppm / 1000000);
+}
+
+static uint64_t delay(struct sim *s)
+{
+	uint64_t d = 200 + rnd(s, 2500);
+
+	if (s->faults && !rnd(s, 40))
+		d += rnd(s, 2 * TERM_US);
+	return d;
+}
+
+/* Sends a message; with faults it may be lost, late or doubled. Takes e over. */
+static void send_msg(struct sim *s, struct ev *e, int from)
+{
+	bool cut = s->blocked[s->nodes[from].zone_no][s->nodes[e->node].zone_no] ||
+		   (s->faults && !rnd(s, 30));
+
+	if (cut) {
+		free_ev(e);
+		return;
+	}
+	if (s->faults && !rnd(s, 30) && !e->entries) {
+		struct ev *copy = make_ev(s, e->kind, e->node);
+
+		*copy = *e;
+		push(s, copy, s->now_us + delay(s));
+	}
+	push(s, e, s->now_us + delay(s));
+}
+
+static void expire_leases(struct sim *s)
+{
+	for (uint32_t i = 0; i < s->n_slots; i++) {
+		if (s->keys[i].present && s->keys[i].lease &&
+		    s->lease_end_us[s->keys[i].lease] <= s->now_us)
+			s->keys[i].present = false;
+	}
+}
+
+static enum br_slot_status store_write(struct sim *s, const struct br_slot_op *op)
+{
+	struct stored *k = &s->keys[op->slot];
+
+	if (op->lease_id && s->lease_end_us[op->lease_id] <= s->now_us)
+		return BR_SLOT_NO_LEASE;
+	if ((k->present ? k->rev : 0) != op->cas_rev)
+		return BR_SLOT_CONFLICT;
+	*k = (struct stored){.present = true, .rev = ++s->rev, .lease = op->lease_id};
+	br_copy_text(k->value, sizeof(k->value), op->value);
+	return BR_SLOT_OK;
+}
+
+static enum br_slot_status store_apply(struct sim *s, struct ev *e)
+{
+	const struct br_slot_op *op = e->op;
+
+	expire_leases(s);
+	switch (op->kind) {
+	case BR_SLOT_OP_LIST:
+	case BR_SLOT_OP_READ:
+		return BR_SLOT_OK;
+	case BR_SLOT_OP_LEASE_CREATE:
+		cr_assert(s->n_leases + 1 < 4096);
+		e->lease_id = ++s->n_leases;
+		s->lease_end_us[e->lease_id] = s->now_us + op->ttl_us;
+		return BR_SLOT_OK;
+	case BR_SLOT_OP_LEASE_RENEW:
+		if (s->lease_end_us[op->lease_id] <= s->now_us)
+			return BR_SLOT_NO_LEASE;
+		s->lease_end_us[op->lease_id] = s->now_us + op->ttl_us;
+		return BR_SLOT_OK;
+	case BR_SLOT_OP_LEASE_DELETE:
+		s->lease_end_us[op->lease_id] = 0;
+		return BR_SLOT_OK;
+	case BR_SLOT_OP_WRITE:
+		return store_write(s, op);
+	}
+	return BR_SLOT_UNAVAILABLE;
+}
+
+/* The platform receives an operation; the answer may be lost after the effect. */
+static void on_effect(struct sim *s, struct ev *e)
+{
+	struct node *n = &s->nodes[e->node];
+	struct ev *r = make_ev(s, EV_RESULT, e->node);
+	bool late = s->now_us - e->time_us > 300 * MS;
+
+	r->incarnation = e->incarnation;
+	r->op = copy_op(e->op);
+	if (s->platform_down || n->plat_blocked) {
+		r->status = rnd(s, 2) ? BR_SLOT_UNAVAILABLE : BR_SLOT_UNKNOWN;
+	} else {
+		r->status = store_apply(s, e);
+		r->lease_id = e->lease_id;
+		r->keys = calloc(SLOTS_MAX, sizeof(*r->keys));
+		cr_assert(r->keys);
+		memcpy(r->keys, s->keys, sizeof(s->keys));
+		if (s->faults && !rnd(s, 15))
+			r->status = BR_SLOT_UNKNOWN;
+	}
+	if (late)
+		free_ev(r);
+	else
+		push(s, r, s->now_us + 500 + rnd(s, 2000));
+}
+
+static void send_op(struct sim *s, int i, const struct br_slot_op *op)
+{
+	struct ev *e = make_ev(s, EV_EFFECT, i);
+	uint64_t d = 500 + rnd(s, 2000);
+
+	if (s->faults && !rnd(s, 25))
+		d = rnd(s, 2 * SEC);
+	e->op = copy_op(op);
+	e->time_us = s->now_us;
+	push(s, e, s->now_us + d);
+	if (d > 300 * MS) {
+		/* The client gives up, although the operation may still take effect. */
+		struct ev *r = make_ev(s, EV_RESULT, i);
+
+		r->op = copy_op(op);
+		r->status = BR_SLOT_UNKNOWN;
+		push(s, r, s->now_us + 300 * MS);
+	}
+}
+
+#endif
