Delete the platform lease as soon as the slots are released

Cause: a planned stop waited for the next renewal, up to 20 s, before it deleted the platform lease. Change: the deletion follows the last release.

--- a/lib/slot.c
+++ b/lib/slot.c
@@ -361,9 +361,12 @@
 static bool tick_lease(struct br_slots *s, uint64_t now_us, struct br_slot_op *op)
 {
 	bool needed = count_held(s) > 0;
+	bool drop = s->stopping && !needed && !s->drop_tried;
 
-	if (!s->lease_id || s->lease_busy || now_us < s->renew_us)
+	if (!s->lease_id || s->lease_busy || (now_us < s->renew_us && !drop))
 		return false;
+	/* A planned stop does not wait for the next renewal; a failed deletion does. */
+	s->drop_tried = drop;
 	if (needed)
 		return emit_lease(s, BR_SLOT_OP_LEASE_RENEW, now_us, op);
 	if (s->stopping)
--- a/lib/slot_private.h
+++ b/lib/slot_private.h
@@ -62,6 +62,7 @@
 	uint64_t right_until_us;
 	uint64_t renew_us;
 	bool lease_busy;
+	bool drop_tried;
 
 	uint64_t scan_us;
 	uint64_t fair;
--- a/node/main.c
+++ b/node/main.c
@@ -188,6 +188,7 @@
 	sigwait(&signals, &sig);
 	log_notice("Signal %d: stopping.", sig);
 	stop_gracefully(&node);
+	log_info("Closing listeners.");
 	for (int i = 0; i < LISTENERS; i++)
 		http_server_destroy(servers[i]);
 	destroy_parts(&node);
--- a/node/slot_control.c
+++ b/node/slot_control.c
@@ -125,6 +125,7 @@
 				   .lease_id = res->lease_id};
 
 	(void)ctl;
+	log_debug("Operation %d on slot %u: status %d.", p->op.kind, p->op.slot, r.status);
 	if (p->op.kind == BR_SLOT_OP_LIST && res->status == PLATFORM_OK)
 		observe_list(sc, res, now_us);
 	br_slots_result(sc->slots, &p->op, &r, now_us);
