Add briarreelctl

Cause: operators need to write records safely while others write too and the platform loses answers. Change: put, get, list, withdraw, validate and key-hash. Writes are CAS at the revision read just before or given; a lost answer is resolved by reading back and comparing the write id, and the write is never repeated. A record that still shows the old revision, or another writer's, is reported as unknown, since the lost write may follow or may have come before. Comments are blanked before strict parsing, so that repeated fields are still found.

--- /dev/null
+++ b/ctl/commands.c
@@ -0,0 +1,245 @@
+#include "ctl/commands.h"
+
+#include "briarreel/error.h"
+#include "common/log.h"
+#include "ctl/input.h"
+#include "ctl/validate.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_PREFIX "ctl"
+#define KEY_MAX_BYTES 4096
+
+/* Reports a read that failed. */
+static int unreachable(const struct br_error *err)
+{
+	log_err("%s: %s: %s", err->peer, br_step_name(err->step), err->detail);
+	return EXIT_UNREACHABLE;
+}
+
+/* Reads and validates a record; the caller frees the text. NULL after a message. */
+static char *read_record(const char *kind, const char *name, const char *path)
+{
+	struct br_error err = {0};
+	char *text = input_read(path, &err);
+
+	if (text && !input_strip_comments(text, &err) && !validate_record(kind, name, text, &err))
+		return text;
+	log_err("%s: %s", path, err.detail);
+	free(text);
+	return NULL;
+}
+
+int command_validate(const char *kind, const char *name, const char *path)
+{
+	char *text = read_record(kind, name, path);
+
+	if (!text)
+		return EXIT_INVALID;
+	free(text);
+	return EXIT_DONE;
+}
+
+/* A key whose account does not exist would be accepted and then refuse every request. */
+static int check_account(const struct store *s, const char *name, const char *json)
+{
+	struct br_error err = {0};
+	struct store_value account;
+	char account_name[BR_NAME_BYTES];
+
+	input_member(json, "account", account_name, sizeof(account_name));
+	if (!account_name[0]) {
+		log_err("key/%s: account: no account is named", name);
+		return EXIT_INVALID;
+	}
+	if (store_get(s, "account", account_name, &account, &err))
+		return unreachable(&err);
+	if (!account.value) {
+		log_err("key/%s: account: %s: no such account", name, account_name);
+		return EXIT_INVALID;
+	}
+	free(account.value);
+	return EXIT_DONE;
+}
+
+/* Finds the revision that a write replaces. */
+static int choose_rev(const struct store *s, const struct write_options *opts, const char *kind,
+		      const char *name, uint64_t *rev)
+{
+	struct br_error err = {0};
+	struct store_value now;
+
+	*rev = opts->has_rev ? opts->rev : 0;
+	if (opts->has_rev || opts->must_be_new)
+		return EXIT_DONE;
+	if (store_get(s, kind, name, &now, &err))
+		return unreachable(&err);
+	*rev = now.mod_rev;
+	free(now.value);
+	return EXIT_DONE;
+}
+
+static int report_write(enum store_result res, const char *kind, const char *name, uint64_t rev,
+			bool withdrawn, const struct br_error *err)
+{
+	switch (res) {
+	case STORE_DONE:
+		if (withdrawn)
+			printf("%s/%s withdrawn\n", kind, name);
+		else
+			printf("%s/%s revision %" PRIu64 "\n", kind, name, rev);
+		return EXIT_DONE;
+	case STORE_CONFLICT:
+		log_err("%s/%s: conflict: the current revision is %" PRIu64, kind, name, rev);
+		return EXIT_CONFLICT;
+	case STORE_UNREACHABLE:
+		return unreachable(err);
+	case STORE_REFUSED:
+		log_err("%s/%s: %s", kind, name, err->detail);
+		return EXIT_INVALID;
+	case STORE_UNKNOWN:
+		log_err("%s/%s: outcome unknown: %s", kind, name, err->detail);
+		return EXIT_UNKNOWN;
+	}
+	return EXIT_UNKNOWN;
+}
+
+static void make_write_id(char out[STORE_WRITE_ID_BYTES])
+{
+	unsigned char bytes[(STORE_WRITE_ID_BYTES - 1) / 2];
+
+	randombytes_buf(bytes, sizeof(bytes));
+	sodium_bin2hex(out, STORE_WRITE_ID_BYTES, bytes, sizeof(bytes));
+}
+
+static int put_value(const struct store *s, const struct write_options *opts, const char *kind,
+		     const char *name, const char *json)
+{
+	char write_id[STORE_WRITE_ID_BYTES];
+	struct br_error err = {0};
+	uint64_t rev;
+	char *value;
+	int status;
+
+	if (!strcmp(kind, "key")) {
+		status = check_account(s, name, json);
+		if (status)
+			return status;
+	}
+	status = choose_rev(s, opts, kind, name, &rev);
+	if (status)
+		return status;
+	make_write_id(write_id);
+	value = input_with_write_id(json, write_id, &err);
+	if (!value || validate_record(kind, name, value, &err)) {
+		log_err("%s", err.detail);
+		status = EXIT_INVALID;
+	} else {
+		enum store_result res = store_put(s, kind, name, value, write_id, &rev, &err);
+
+		status = report_write(res, kind, name, rev, false, &err);
+	}
+	free(value);
+	return status;
+}
+
+int command_put(const struct store *s, const struct write_options *opts, const char *kind,
+		const char *name, const char *path)
+{
+	char *json = read_record(kind, name, path);
+	int status;
+
+	if (!json)
+		return EXIT_INVALID;
+	status = put_value(s, opts, kind, name, json);
+	free(json);
+	return status;
+}
+
+int command_get(const struct store *s, const char *kind, const char *name)
+{
+	struct br_error err = {0};
+	struct store_value now;
+
+	if (store_get(s, kind, name, &now, &err))
+		return unreachable(&err);
+	if (!now.value) {
+		log_err("%s/%s: no such record", kind, name);
+		return EXIT_ABSENT;
+	}
+	printf("// revision %" PRIu64 "\n%s\n", now.mod_rev, now.value);
+	free(now.value);
+	return EXIT_DONE;
+}
+
+static void print_record(const char *key, uint64_t mod_rev, const char *value, void *arg)
+{
+	(void)value;
+	(void)arg;
+	printf("%s %" PRIu64 "\n", key + strlen(STORE_PREFIX), mod_rev);
+}
+
+int command_list(const struct store *s, const char *kind)
+{
+	struct br_error err = {0};
+
+	if (store_list(s, kind, print_record, NULL, &err))
+		return unreachable(&err);
+	return EXIT_DONE;
+}
+
+/* Warns of a key record that names the account in arg. */
+static void warn_key(const char *key, uint64_t mod_rev, const char *value, void *arg)
+{
+	const char *account = arg;
+	char named[BR_NAME_BYTES];
+
+	(void)mod_rev;
+	input_member(value, "account", named, sizeof(named));
+	if (!strcmp(named, account))
+		log_warn("%s names account %s and will be refused without it",
+			 key + strlen(STORE_PREFIX), account);
+}
+
+int command_withdraw(const struct store *s, const struct write_options *opts, const char *kind,
+		     const char *name)
+{
+	struct br_error err = {0};
+	enum store_result res;
+	uint64_t rev;
+	int status = choose_rev(s, opts, kind, name, &rev);
+
+	if (status)
+		return status;
+	if (!rev) {
+		log_err("%s/%s: no such record", kind, name);
+		return EXIT_ABSENT;
+	}
+	if (!strcmp(kind, "account") && store_list(s, "key", warn_key, (void *)name, &err))
+		return unreachable(&err);
+	res = store_delete(s, kind, name, &rev, &err);
+	return report_write(res, kind, name, rev, true, &err);
+}
+
+int command_key_hash(void)
+{
+	unsigned char hash[crypto_hash_sha256_BYTES];
+	char hex[2 * crypto_hash_sha256_BYTES + 1];
+	char key[KEY_MAX_BYTES + 1];
+	size_t n = fread(key, 1, sizeof(key), stdin);
+
+	if (n && key[n - 1] == '\n')
+		n--;
+	if (!n || n >= KEY_MAX_BYTES) {
+		log_err("standard input: a key has 1 to %d bytes", KEY_MAX_BYTES - 1);
+		return EXIT_USAGE;
+	}
+	crypto_hash_sha256(hash, (const unsigned char *)key, n);
+	sodium_memzero(key, sizeof(key));
+	puts(sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash)));
+	return EXIT_DONE;
+}
--- /dev/null
+++ b/ctl/store.c
@@ -0,0 +1,238 @@
+#include "ctl/store.h"
+
+#include "briarreel/error.h"
+#include "common/clock.h"
+#include "common/http_client.h"
+#include "ctl/input.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TARGET_BYTES 1024
+/** Attempts to read back after a lost answer. */
+#define READ_BACKS 5
+
+static char *add_encoded(char *p, const char *text)
+{
+	for (; *text; text++) {
+		unsigned char c = (unsigned char)*text;
+
+		if (isalnum(c) || strchr("._-:", c))
+			*p++ = (char)c;
+		else
+			p += sprintf(p, "%%%02X", c);
+	}
+	*p = '\0';
+	return p;
+}
+
+/* Path of a record; false if kind or name are too long. */
+static bool record_path(char *out, const char *kind, const char *name)
+{
+	char *p;
+
+	if (!*kind || !*name || strlen(kind) >= BR_NAME_BYTES || strlen(name) >= BR_NAME_BYTES)
+		return false;
+	p = add_encoded(stpcpy(out, "/kv/" STORE_PREFIX), kind);
+	*p++ = '/';
+	add_encoded(p, name);
+	return true;
+}
+
+static int exchange(const struct store *s, const char *method, const char *target, const char *body,
+		    struct http_response *resp, struct br_error *err)
+{
+	struct http_request req = {.method = method,
+				   .target = target,
+				   .body = body,
+				   .body_len = body ? strlen(body) : 0};
+
+	return http_pool_exchange(s->pool, s->platform, &req, s->timeout_ms, resp, err);
+}
+
+static uint64_t response_rev(const struct http_response *resp)
+{
+	const char *text = http_response_header(resp, "X-Mod-Rev");
+
+	return text ? strtoull(text, NULL, 10) : 0;
+}
+
+static int bad_status(const struct store *s, int status, struct br_error *err)
+{
+	return br_error_set(err, -EIO, BR_STEP_STORE, s->platform, "the platform answered %d",
+			    status);
+}
+
+int store_get(const struct store *s, const char *kind, const char *name, struct store_value *out,
+	      struct br_error *err)
+{
+	char target[TARGET_BYTES];
+	struct http_response resp = {0};
+	int ret;
+
+	*out = (struct store_value){0};
+	if (!record_path(target, kind, name))
+		return br_error_set(err, -EINVAL, BR_STEP_VALIDATE, NULL,
+				    "%s/%s: kind or name is empty or too long", kind, name);
+	ret = exchange(s, "GET", target, NULL, &resp, err);
+	if (ret)
+		return ret;
+	if (resp.status == 200) {
+		out->value = strndup(resp.body ? resp.body : "", resp.body_len);
+		out->mod_rev = response_rev(&resp);
+		ret = out->value ? 0 : -ENOMEM;
+	} else if (resp.status != 404) {
+		ret = bad_status(s, resp.status, err);
+	}
+	http_response_free(&resp);
+	return ret;
+}
+
+static int visit_all(const struct http_response *resp, store_visit visit, void *arg)
+{
+	struct json_object *root = json_tokener_parse(resp->body ? resp->body : "");
+	struct json_object *kvs;
+	struct json_object *key;
+	struct json_object *rev;
+	struct json_object *value;
+	int ret = -EBADMSG;
+
+	if (json_object_object_get_ex(root, "kvs", &kvs) &&
+	    json_object_is_type(kvs, json_type_array)) {
+		ret = 0;
+		for (size_t i = 0; i < json_object_array_length(kvs); i++) {
+			struct json_object *item = json_object_array_get_idx(kvs, i);
+
+			if (!json_object_object_get_ex(item, "key", &key) ||
+			    !json_object_object_get_ex(item, "mod_rev", &rev) ||
+			    !json_object_object_get_ex(item, "value", &value)) {
+				ret = -EBADMSG;
+				break;
+			}
+			visit(json_object_get_string(key), json_object_get_uint64(rev),
+			      json_object_get_string(value), arg);
+		}
+	}
+	json_object_put(root);
+	return ret;
+}
+
+int store_list(const struct store *s, const char *kind, store_visit visit, void *arg,
+	       struct br_error *err)
+{
+	char target[TARGET_BYTES] = "/range?prefix=" STORE_PREFIX;
+	struct http_response resp = {0};
+	int ret;
+
+	if (kind && strlen(kind) >= BR_NAME_BYTES)
+		return br_error_set(err, -EINVAL, BR_STEP_VALIDATE, NULL, "kind is too long");
+	if (kind)
+		strcpy(add_encoded(target + strlen(target), kind), "/");
+	ret = exchange(s, "GET", target, NULL, &resp, err);
+	if (ret)
+		return ret;
+	if (resp.status != 200)
+		ret = bad_status(s, resp.status, err);
+	else if (visit_all(&resp, visit, arg))
+		ret = br_error_set(err, -EBADMSG, BR_STEP_PARSE, s->platform,
+				   "the listing is malformed");
+	http_response_free(&resp);
+	return ret;
+}
+
+/* True if a read after a lost answer shows that the write took effect; no write id: a deletion. */
+static bool took_effect(const struct store_value *now, const char *write_id)
+{
+	char found[STORE_WRITE_ID_BYTES] = "";
+
+	if (!write_id)
+		return !now->value;
+	if (now->value)
+		input_member(now->value, "write_id", found, sizeof(found));
+	return !strcmp(found, write_id);
+}
+
+/*
+ * A record that is unchanged may still be written by the lost request, and one that another writer
+ * changed may have been ours before; both are unknown.
+ */
+static enum store_result read_back(const struct store *s, const char *kind, const char *name,
+				   const char *write_id, uint64_t *rev, struct br_error *err)
+{
+	uint64_t before = *rev;
+
+	for (int i = 0; i < READ_BACKS; i++) {
+		struct store_value now;
+		bool done;
+
+		clock_sleep_ms(s->read_back_ms);
+		if (store_get(s, kind, name, &now, err))
+			continue;
+		*rev = now.mod_rev;
+		done = took_effect(&now, write_id);
+		free(now.value);
+		if (done)
+			return STORE_DONE;
+		br_error_set(err, -EIO, BR_STEP_STORE, s->platform,
+			     "the answer was lost; %s/%s is %s revision %" PRIu64, kind, name,
+			     *rev == before ? "still at" : "now at", *rev);
+	}
+	return STORE_UNKNOWN;
+}
+
+static enum store_result write_record(const struct store *s, const char *method, const char *kind,
+				      const char *name, const char *value, const char *write_id,
+				      uint64_t *rev, struct br_error *err)
+{
+	char target[TARGET_BYTES];
+	struct http_response resp = {0};
+	enum store_result res = STORE_DONE;
+	size_t len;
+	int ret;
+
+	if (!record_path(target, kind, name)) {
+		br_error_set(err, -EINVAL, BR_STEP_VALIDATE, NULL, "%s/%s: not a record", kind,
+			     name);
+		return STORE_REFUSED;
+	}
+	len = strlen(target);
+	snprintf(target + len, sizeof(target) - len, "?cas=%" PRIu64, *rev);
+	ret = exchange(s, method, target, value, &resp, err);
+	if (ret && err->step == BR_STEP_CONNECT)
+		return STORE_UNREACHABLE;
+	if (ret || resp.status >= 500) {
+		/* A server error does not say whether the write took effect. */
+		http_response_free(&resp);
+		return read_back(s, kind, name, write_id, rev, err);
+	}
+	if (resp.status == 200 || resp.status == 409) {
+		*rev = response_rev(&resp);
+		res = resp.status == 200 ? STORE_DONE : STORE_CONFLICT;
+	} else if (resp.status == 404 && !write_id) {
+		*rev = 0;
+		res = STORE_CONFLICT;
+	} else {
+		bad_status(s, resp.status, err);
+		res = STORE_REFUSED;
+	}
+	http_response_free(&resp);
+	return res;
+}
+
+enum store_result store_put(const struct store *s, const char *kind, const char *name,
+			    const char *value, const char *write_id, uint64_t *rev,
+			    struct br_error *err)
+{
+	return write_record(s, "PUT", kind, name, value, write_id, rev, err);
+}
+
+enum store_result store_delete(const struct store *s, const char *kind, const char *name,
+			       uint64_t *rev, struct br_error *err)
+{
+	return write_record(s, "DELETE", kind, name, NULL, NULL, rev, err);
+}
