Validate records in briarreelctl by the library alone

Cause: a fallback check stood in for the record module before it was merged. Change: the command calls br_record_validate(); the fallback is gone. Conclusion: command and nodes accept the same records.

--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -1,9 +1,9 @@
 #include "ctl/commands.h"
 
 #include "briarreel/error.h"
+#include "briarreel/record.h"
 #include "common/log.h"
 #include "ctl/input.h"
-#include "ctl/validate.h"
 
 #include <inttypes.h>
 #include <sodium.h>
@@ -27,7 +27,8 @@
 	struct br_error err = {0};
 	char *text = input_read(path, &err);
 
-	if (text && !input_strip_comments(text, &err) && !validate_record(kind, name, text, &err))
+	if (text && !input_strip_comments(text, &err) &&
+	    !br_record_validate(kind, name, text, &err))
 		return text;
 	log_err("%s: %s", path, err.detail);
 	free(text);
@@ -135,7 +136,7 @@
 		return status;
 	make_write_id(write_id);
 	value = input_with_write_id(json, write_id, &err);
-	if (!value || validate_record(kind, name, value, &err)) {
+	if (!value || br_record_validate(kind, name, value, &err)) {
 		log_err("%s", err.detail);
 		status = EXIT_INVALID;
 	} else {
