--- a/lib/config.c
+++ b/lib/config.c
@@ -80,7 +80,8 @@
 
 	if (cfg->n == cfg->cap) {
 		size_t cap = cfg->cap ? cfg->cap * 2 : 64;
-		struct config_entry **entries = realloc(cfg->entries, cap * sizeof(*entries));
+		struct config_entry **entries =
+			realloc(cfg->entries, cap * sizeof(struct config_entry *));
 
 		if (!entries)
 			return NULL;
@@ -91,7 +92,8 @@
 	if (!entry)
 		return NULL;
 	memcpy(entry->key, key, strlen(key) + 1);
-	memmove(cfg->entries + at + 1, cfg->entries + at, (cfg->n - at) * sizeof(*cfg->entries));
+	memmove(cfg->entries + at + 1, cfg->entries + at,
+		(cfg->n - at) * sizeof(struct config_entry *));
 	cfg->entries[at] = entry;
 	cfg->n++;
 	cfg->n_tombstones++;
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -196,7 +196,7 @@
 		free(member);
 		return NULL;
 	}
-	memmove(m->all + at + 1, m->all + at, (m->n - at) * sizeof(*m->all));
+	memmove(m->all + at + 1, m->all + at, (m->n - at) * sizeof(struct member *));
 	m->all[at] = member;
 	m->n++;
 	return member;
@@ -207,7 +207,7 @@
 	size_t at = lower_bound(m, member->ref->entry.id.text);
 
 	BR_INVARIANT(m->all[at] == member && member != m->self);
-	memmove(m->all + at, m->all + at + 1, (m->n - at - 1) * sizeof(*m->all));
+	memmove(m->all + at, m->all + at + 1, (m->n - at - 1) * sizeof(struct member *));
 	m->n--;
 	toggle_digest(m, &member->ref->entry);
 	m->n_state[member->ref->entry.state]--;
--- a/lib/membership_view.c
+++ b/lib/membership_view.c
@@ -54,16 +54,18 @@
 
 static void group_targets(struct br_members_view *v)
 {
-	qsort(v->targets, v->n_targets, sizeof(*v->targets), compare_targets);
+	struct service_group *group = NULL;
+
+	qsort(v->targets, v->n_targets, sizeof(struct br_member *), compare_targets);
 	for (size_t i = 0; i < v->n_targets; i++) {
 		const char *service = v->targets[i]->service;
 
-		if (!v->n_groups || strcmp(v->groups[v->n_groups - 1].service, service) != 0)
-			v->groups[v->n_groups++] = (struct service_group){
-				.service = service,
-				.first = &v->targets[i],
-			};
-		v->groups[v->n_groups - 1].n++;
+		if (!group || strcmp(group->service, service) != 0) {
+			group = &v->groups[v->n_groups++];
+			group->service = service;
+			group->first = &v->targets[i];
+		}
+		group->n++;
 	}
 }
 
@@ -74,10 +76,10 @@
 	if (!v)
 		return NULL;
 	atomic_init(&v->refs, 1);
-	v->held = malloc(m->n * sizeof(*v->held));
-	v->all = malloc(m->n * sizeof(*v->all));
-	v->targets = malloc(m->n * sizeof(*v->targets));
-	v->groups = malloc(m->n * sizeof(*v->groups));
+	v->held = malloc(m->n * sizeof(struct member_ref *));
+	v->all = malloc(m->n * sizeof(struct br_member *));
+	v->targets = malloc(m->n * sizeof(struct br_member *));
+	v->groups = calloc(m->n, sizeof(*v->groups));
 	if (!v->held || !v->all || !v->targets || !v->groups) {
 		br_members_view_put(v);
 		return NULL;
--- a/lib/view.c
+++ b/lib/view.c
@@ -128,7 +128,7 @@
 	v->key_mask = table_size(keys->n) - 1;
 	v->route_mask = table_size(routes->n) - 1;
 	v->keys = calloc(v->key_mask + 1, sizeof(*v->keys));
-	v->routes = calloc(v->route_mask + 1, sizeof(*v->routes));
+	v->routes = calloc(v->route_mask + 1, sizeof(struct br_record *));
 	if (!v->keys || !v->routes)
 		return false;
 	for (size_t i = 0; i < keys->n; i++)
@@ -146,8 +146,8 @@
 		return NULL;
 	atomic_init(&v->refs, 1);
 	atomic_init(&v->watermark, watermark);
-	v->held = calloc(n + 1, sizeof(*v->held));
-	v->records = calloc(n + 1, sizeof(*v->records));
+	v->held = calloc(n + 1, sizeof(struct br_record_ref *));
+	v->records = calloc(n + 1, sizeof(struct br_record *));
 	if (!v->held || !v->records) {
 		br_view_put(v);
 		return NULL;
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -261,6 +261,44 @@
 	br_config_destroy(old);
 }
 
+/* A snapshot older than the map says nothing about what the map lacks or has since. */
+Test(config, ignores_what_an_older_snapshot_lacks)
+{
+	struct br_config *old = create_sender(1);
+	struct br_config *to = br_config_create(0);
+
+	put(old, "zone/z4", 9, NULL);
+	cr_assert_eq(br_config_delta_floor(old), 8);
+	put(to, "zone/z1", 1, ZONE("a"));
+	put(to, "zone/z9", 9, ZONE("a"));
+	br_config_advance(to, 0, 20);
+	cr_assert_eq(transfer(old, to, 0), 1);
+	cr_assert_eq(br_config_watermark(to), 20);
+	cr_assert_not_null(value_of(to, "zone/z9"));
+	cr_assert_eq(br_config_count(to), 2);
+	br_config_destroy(old);
+	br_config_destroy(to);
+}
+
+/* Above the watermark only the tombstone tells that the key's older text is out of date. */
+Test(config, keeps_tombstones_above_the_watermark)
+{
+	struct br_config *cfg = br_config_create(2);
+	char key[32];
+
+	for (uint64_t i = 1; i <= 8; i++) {
+		snprintf(key, sizeof(key), "zone/z%llu", (unsigned long long)i);
+		br_config_delete(cfg, key, 10 + i, NULL);
+	}
+	br_config_advance(cfg, 0, 12);
+	cr_assert_eq(br_config_delta_floor(cfg), 12);
+	cr_assert_eq(put(cfg, "zone/z4", 13, ZONE("a")), BR_CONFIG_UNCHANGED);
+	cr_assert_eq(put(cfg, "zone/z1", 11, ZONE("a")), BR_CONFIG_UNCHANGED);
+	cr_assert_eq(put(cfg, "zone/z8", 15, ZONE("a")), BR_CONFIG_UNCHANGED);
+	cr_assert_eq(br_config_count(cfg), 0);
+	br_config_destroy(cfg);
+}
+
 /* An incomplete snapshot that counts as complete would delete records that are in force. */
 Test(config, does_not_take_a_part_for_the_whole)
 {
--- a/tests/unit/membership.c
+++ b/tests/unit/membership.c
@@ -119,10 +119,12 @@
 	cr_assert_eq(merge(m, 0, 500, BR_MEMBER_ALIVE), BR_MEMBERS_REFUTED);
 	cr_assert_eq(br_members_self(m)->incarnation, 501);
 	cr_assert_eq(br_members_self(m)->instance, 100, "the process looks like another one");
+	/* A former process that started at the same place in the order. */
+	cr_assert_eq(merge(m, 0, 501, BR_MEMBER_ALIVE), BR_MEMBERS_REFUTED);
 	cr_assert_eq(br_members_set_self(m, BR_MEMBER_DRAINING, "s0", true, 0), 0);
 	cr_assert_eq(br_members_set_self(m, BR_MEMBER_DRAINING, "s0", true, 0), 0);
-	cr_assert_eq(br_members_self(m)->incarnation, 502);
-	cr_assert_eq(merge(m, 0, 502, BR_MEMBER_DEAD), BR_MEMBERS_REFUTED);
+	cr_assert_eq(br_members_self(m)->incarnation, 503);
+	cr_assert_eq(merge(m, 0, 503, BR_MEMBER_DEAD), BR_MEMBERS_REFUTED);
 	cr_assert_eq(br_members_self(m)->state, BR_MEMBER_DRAINING);
 	cr_assert_eq(br_members_set_self(m, BR_MEMBER_DEAD, "s0", true, 0), -EINVAL);
 	br_members_destroy(m);
@@ -272,6 +274,7 @@
 
 	cr_assert_eq(br_members_digest(a), br_members_digest(b));
 	merge(a, 9, 100, BR_MEMBER_SUSPECT);
+	cr_assert_neq(br_members_digest(a), br_members_digest(b), "a suspicion does not show");
 	merge(a, 9, 101, BR_MEMBER_ALIVE);
 	merge(a, 10, 102, BR_MEMBER_LEAVING);
 	br_members_bucket_digests(a, buckets);
@@ -300,7 +303,10 @@
 	cr_assert_eq(n, 3);
 	merge(m, 3, 101, BR_MEMBER_DRAINING);
 	merge(m, 143, 100, BR_MEMBER_SUSPECT);
+	merge(m, 4, 101, BR_MEMBER_LEAVING);
 	after = br_members_view(m);
+	br_members_view_targets(after, "s4", &n);
+	cr_assert_eq(n, 2);
 	br_members_view_targets(after, "s3", &n);
 	cr_assert_eq(n, 1);
 	e = entry(283, 101, BR_MEMBER_ALIVE);
