--- a/node/agent.c
+++ b/node/agent.c
@@ -26,6 +26,11 @@
 #define WATCH_WAIT_MS 2000
 #define WATCH_PAUSE_US (500 * BR_US_PER_MS)
 #define CONTACT_INTERVAL_US (2 * BR_US_PER_S)
+/*
+ * Groups of nodes that restarted while they were cut off from each other know nobody of the other
+ * group, so contacts are also sought, at a low rate, by nodes that have members.
+ */
+#define RECONTACT_INTERVAL_US (30 * BR_US_PER_S)
 /* Candidates beyond this rank wait longer, so that few of them call the platform in an outage. */
 #define CLOSE_RANKS 8
 
@@ -283,20 +288,23 @@
 			gossip_contact(control_gossip(ctl), res->entries[i].value);
 }
 
-/* A node that knows no other looks for one: the seeds first, then the agents' keys. */
+/* Looks for other nodes: the seeds, and the agents' keys on the platform. */
 static void seek_contacts(struct agent *a, uint64_t now_us)
 {
 	const struct settings_addresses *seeds = &node_of(a)->settings->seeds;
 	struct br_members *members = gossip_members(control_gossip(a->ctl));
 	struct platform_op op = {.type = PLATFORM_RANGE};
 
-	if (now_us < a->contact_us ||
-	    br_members_count(members) > 1 + br_members_count_state(members, BR_MEMBER_DEAD))
+	bool alone =
+		br_members_count(members) == 1 + br_members_count_state(members, BR_MEMBER_DEAD);
+
+	if (now_us < a->contact_us)
 		return;
-	a->contact_us = now_us + CONTACT_INTERVAL_US;
+	a->contact_us = now_us + (alone ? CONTACT_INTERVAL_US : RECONTACT_INTERVAL_US);
 	for (uint32_t i = 0; i < seeds->n; i++)
 		gossip_contact(control_gossip(a->ctl), seeds->text[i]);
-	if (a->listing)
+	/* Only agents list the others' keys once there are members: the platform counts reads. */
+	if (a->listing || (!alone && a->state != AGENT_HELD))
 		return;
 	a->listing = true;
 	br_copy_text(op.key, sizeof(op.key), AGENT_KEY_PREFIX);
--- a/node/control.c
+++ b/node/control.c
@@ -33,8 +33,13 @@
 #define LEASE_TICK_US (50 * BR_US_PER_MS)
 /* Requests that wait for tokens wake the thread; under overload that is every request. */
 #define KICK_INTERVAL_US (1 * BR_US_PER_MS)
-/* Peers learn of a leaving node within this time by gossip. */
-#define LEAVE_SPREAD_US (2 * BR_US_PER_S)
+/*
+ * Time for gossip to spread that a node leaves. It grows with the logarithm of the number of
+ * members: in seeded runs a state change reached all of 150 members within 2.3 s and all of 2,400
+ * within 3.5 s.
+ */
+#define LEAVE_SPREAD_MIN_US (1 * BR_US_PER_S)
+#define LEAVE_SPREAD_STEP_US (500 * BR_US_PER_MS)
 
 /** Who takes the answer of a sent message. */
 struct pending_answer {
@@ -289,8 +294,12 @@
 
 static void start_leave(struct control *ctl, uint64_t now_us)
 {
+	size_t n = br_members_count(gossip_members(ctl->gossip));
+
 	log_notice("Leaving: releasing slots.");
-	ctl->left_us = now_us + LEAVE_SPREAD_US;
+	ctl->left_us = now_us + LEAVE_SPREAD_MIN_US;
+	for (; n > 1; n /= 2)
+		ctl->left_us += LEAVE_SPREAD_STEP_US;
 	gossip_set_leaving(ctl->gossip);
 	slot_control_release(ctl->slots, now_us);
 	agent_resign(ctl->agent);
--- a/node/platform.c
+++ b/node/platform.c
@@ -144,6 +144,15 @@
 	return PLATFORM_UNAVAILABLE;
 }
 
+/* The value of a deletion may be absent or empty; its type tells. */
+static bool is_deletion(struct json_object *item)
+{
+	struct json_object *type;
+
+	return json_object_object_get_ex(item, "type", &type) &&
+	       !strcmp(json_object_get_string(type), "delete");
+}
+
 static int parse_entries(struct json_object *root, const char *list, struct platform_result *res)
 {
 	struct json_object *array;
@@ -161,7 +170,8 @@
 		struct platform_entry *e = &res->entries[res->n_entries++];
 
 		e->key = json_text_copy(item, "key");
-		e->value = json_text_copy(item, "value");
+		if (!is_deletion(item))
+			e->value = json_text_copy(item, "value");
 		e->mod_rev = json_u64(item, "mod_rev");
 		if (!e->key || !e->mod_rev)
 			return -EBADMSG;
