Add unit tests of the overload modules and accept times out of order

Cause: callers read the clock before they lock; an older time closed 64 windows at once and so reset the admission threshold. Conclusion: the modules can be used from several threads under one lock.

--- a/lib/admission.c
+++ b/lib/admission.c
@@ -130,10 +130,18 @@
 	a->min_delay_us = UINT64_MAX;
 }
 
-static void roll(struct br_admission *a, uint64_t now_us)
+/*
+ * Closes the windows that have ended and returns the time to use. Callers read the clock before
+ * they take their lock, so that times may arrive slightly out of order.
+ */
+static uint64_t roll(struct br_admission *a, uint64_t now_us)
 {
 	uint64_t windows;
 
+	if (now_us < a->last_us)
+		now_us = a->last_us;
+	a->last_us = now_us;
+
 	if (!a->window_start_us)
 		a->window_start_us = now_us;
 	windows = (now_us - a->window_start_us) / BR_ADMISSION_WINDOW_US;
@@ -144,6 +152,7 @@
 		observe_delay(a, now_us);
 		close_window(a);
 	}
+	return now_us;
 }
 
 /*
@@ -220,7 +229,7 @@
 {
 	double asked;
 
-	roll(a, now_us);
+	now_us = roll(a, now_us);
 	drop_expired(a, now_us);
 	observe_delay(a, now_us);
 	if (e->priority >= BR_PRIORITIES)
@@ -250,7 +259,7 @@
 {
 	struct br_admission_entry *e;
 
-	roll(a, now_us);
+	now_us = roll(a, now_us);
 	drop_expired(a, now_us);
 	observe_delay(a, now_us);
 	if (a->in_flight >= a->limit)
@@ -306,7 +315,7 @@
 
 void br_admission_tick(struct br_admission *a, uint64_t now_us)
 {
-	roll(a, now_us);
+	now_us = roll(a, now_us);
 	drop_expired(a, now_us);
 	observe_delay(a, now_us);
 }
--- a/lib/admission_internal.h
+++ b/lib/admission_internal.h
@@ -55,6 +55,7 @@
 	struct br_admission_accounts accounts;
 	double service_us;
 
+	uint64_t last_us;
 	uint64_t window_start_us;
 	uint64_t min_delay_us;
 	bool overloaded;
--- a/lib/admission_queue.c
+++ b/lib/admission_queue.c
@@ -139,6 +139,7 @@
 	for (struct br_admission_account *it = a->active[p]; it; it = it->lists[p].next)
 		if (!best || it->work < best->work)
 			best = it;
+	BR_INVARIANT(best);
 	return br_queue_newest_first(a, p) ? best->lists[p].newest : best->lists[p].oldest;
 }
 
--- a/lib/balance.c
+++ b/lib/balance.c
@@ -196,11 +196,13 @@
 
 static const struct view *better_of_two(const struct view *views, size_t n, struct br_rng *rng)
 {
-	size_t first = draw(views, n, SIZE_MAX, rng), second;
+	size_t first, second;
 
 	if (n == 1)
 		return &views[0];
+	first = draw(views, n, SIZE_MAX, rng);
 	second = draw(views, n, first, rng);
+	BR_INVARIANT(first < n && second < n && first != second);
 	if (views[second].load_n / views[second].limit < views[first].load_n / views[first].limit)
 		return &views[second];
 	return &views[first];
--- a/lib/limiter.c
+++ b/lib/limiter.c
@@ -29,6 +29,7 @@
 #define STEP_DOWN 0.025
 /* Most steps down at once, for an excess of as many times the first threshold. */
 #define STEPS_MAX 4
+#define SETTLE_MAX_US (500 * BR_US_PER_MS)
 /* Weight of a window in the smoothed excess that decides on the steps. */
 #define SMOOTHING 0.2
 /*
@@ -84,7 +85,7 @@
 	double first_excess, first_limit;
 	uint32_t sheds;
 	double service_us, smoothed;
-	uint64_t window_start_us, hold_until_us;
+	uint64_t last_us, window_start_us, hold_until_us;
 	uint64_t next_probe_us, probe_start_us, probe_interval_us;
 	bool probing, measuring;
 	uint32_t probe_samples;
@@ -213,9 +214,9 @@
 /* Time until the requests that run now have ended, for the most part. */
 static uint64_t settle_us(const struct br_limiter *l)
 {
-	double us = 2 * l->service_us;
+	uint64_t us = (uint64_t)(2 * l->service_us);
 
-	return us < BR_US_PER_S / 2 ? (uint64_t)us : BR_US_PER_S / 2;
+	return us < SETTLE_MAX_US ? us : SETTLE_MAX_US;
 }
 
 static void window_reset(struct br_limiter *l, uint64_t now_us)
@@ -427,6 +428,10 @@
 	struct class *c = &l->classes[class % CLASSES];
 	double log_us = 0;
 
+	/* Callers read the clock before they take their lock, so times may be out of order. */
+	if (now_us < l->last_us)
+		now_us = l->last_us;
+	l->last_us = now_us;
 	if (!l->window_start_us)
 		window_reset(l, now_us);
 	if (!shed && !service_us)
--- a/tests/random/overload.c
+++ b/tests/random/overload.c
@@ -56,7 +56,8 @@
 
 struct request {
 	struct br_admission_entry entry;
-	uint32_t account, refs, class;
+	struct request *chain;
+	uint32_t account, refs;
 	double base_us;
 	uint64_t started_us;
 	bool ended;
@@ -79,6 +80,7 @@
 	struct br_rng rng;
 	struct br_admission *adm;
 	struct br_limiter *lim;
+	struct request *unused;
 	struct event *heap;
 	size_t n, max;
 	uint64_t now_us;
@@ -138,10 +140,26 @@
 	return top;
 }
 
-static void release(struct request *r)
+/* Unused requests are kept for the next arrivals. */
+static void release(struct model *m, struct request *r)
 {
-	if (!--r->refs)
-		free(r);
+	if (--r->refs)
+		return;
+	r->chain = m->unused;
+	m->unused = r;
+}
+
+static struct request *request_create(struct model *m)
+{
+	struct request *r = m->unused;
+
+	if (r)
+		m->unused = r->chain;
+	else
+		r = malloc(sizeof(*r));
+	cr_assert(r);
+	*r = (struct request){.refs = 1};
+	return r;
 }
 
 static double slow_now(const struct model *m)
@@ -157,7 +175,7 @@
 	cr_assert(!r->ended, "request left twice");
 	r->ended = true;
 	m->out.left++;
-	release(r);
+	release(m, r);
 }
 
 static void refused(struct model *m, struct request *r)
@@ -204,7 +222,7 @@
 		m->fifo_head = (m->fifo_head + 1) % FIFO_QUEUE_MAX;
 		m->fifo_n--;
 		if (r->ended)
-			release(r);
+			release(m, r);
 		else
 			begin(m, r);
 	}
@@ -278,10 +296,8 @@
 static void arrive(struct model *m, uint32_t account)
 {
 	const struct scenario *sc = m->sc;
-	struct request *r = calloc(1, sizeof(*r));
+	struct request *r = request_create(m);
 
-	cr_assert(r);
-	r->refs = 1;
 	r->account = account;
 	r->entry.data = r;
 	r->entry.arrived_us = m->now_us;
@@ -356,7 +372,7 @@
 		cancel(m, ev.r);
 	else if (!ev.r->ended)
 		finish(m, ev.r, false);
-	release(ev.r);
+	release(m, ev.r);
 }
 
 static void drain(struct model *m)
@@ -365,7 +381,7 @@
 		br_admission_drop_all(m->adm);
 	for (; m->fifo_n; m->fifo_n--, m->fifo_head = (m->fifo_head + 1) % FIFO_QUEUE_MAX) {
 		if (m->fifo[m->fifo_head]->ended)
-			release(m->fifo[m->fifo_head]);
+			release(m, m->fifo[m->fifo_head]);
 		else
 			refused(m, m->fifo[m->fifo_head]);
 	}
@@ -377,7 +393,7 @@
 				br_admission_done(m->adm, &ev.r->entry, 0, m->now_us);
 			leave(m, ev.r);
 		}
-		release(ev.r);
+		release(m, ev.r);
 	}
 	if (m->adm)
 		cr_assert_eq(br_admission_in_flight(m->adm), 0);
@@ -427,6 +443,12 @@
 	out = m->out;
 	br_admission_destroy(m->adm);
 	br_limiter_destroy(m->lim);
+	while (m->unused) {
+		struct request *r = m->unused;
+
+		m->unused = r->chain;
+		free(r);
+	}
 	free(m->heap);
 	free(m);
 	return out;
--- /dev/null
+++ b/tests/unit/admission.c
@@ -0,0 +1,291 @@
+#include "briarreel/admission.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define NOW (100 * BR_US_PER_S)
+#define MAX 64
+
+struct fixture {
+	struct br_admission *a;
+	struct br_admission_entry e[MAX];
+	int dropped, last_dropped;
+	enum br_admission_reason last_reason;
+};
+
+static struct fixture f;
+
+static void on_drop(void *ctx, struct br_admission_entry *e, enum br_admission_reason reason)
+{
+	struct fixture *fx = ctx;
+
+	fx->dropped++;
+	fx->last_dropped = (int)(e - fx->e);
+	fx->last_reason = reason;
+}
+
+static void setup_limit(uint32_t limit, uint32_t queue_max, enum br_admission_order order)
+{
+	struct br_admission_cfg cfg = {
+		.limit = limit, .queue_max = queue_max, .order = order, .accounts_max = 8};
+
+	cfg.drop = on_drop;
+	cfg.drop_ctx = &f;
+	memset(&f, 0, sizeof(f));
+	f.a = br_admission_create(&cfg);
+	cr_assert(f.a);
+}
+
+static enum br_admission_result offer(int i, uint64_t account, uint8_t priority, uint64_t now_us)
+{
+	f.e[i].account = account;
+	f.e[i].priority = priority;
+	if (!f.e[i].deadline_us)
+		f.e[i].deadline_us = now_us + 20 * BR_US_PER_S;
+	return br_admission_offer(f.a, &f.e[i], now_us);
+}
+
+static int next(uint64_t now_us)
+{
+	struct br_admission_entry *e = br_admission_next(f.a, now_us);
+
+	return e ? (int)(e - f.e) : -1;
+}
+
+static void done(int i, uint64_t service_us, uint64_t now_us)
+{
+	br_admission_done(f.a, &f.e[i], service_us, now_us);
+}
+
+static void finish(void)
+{
+	br_admission_drop_all(f.a);
+	br_admission_destroy(f.a);
+}
+
+/* Guards against a request that waits behind less important ones. */
+Test(admission, runs_by_priority_then_least_work_then_age)
+{
+	setup_limit(1, 32, BR_ORDER_ADAPTIVE);
+	cr_assert_eq(offer(0, 1, 3, NOW), BR_ADMISSION_RUN);
+	cr_assert_eq(offer(1, 1, 3, NOW), BR_ADMISSION_QUEUED);
+	offer(2, 1, 3, NOW);
+	offer(3, 2, 3, NOW);
+	offer(4, 3, 0, NOW);
+	offer(5, 3, 200, NOW);
+	cr_assert_eq(next(NOW), -1, "the limit is reached");
+	done(0, 4000, NOW);
+	cr_assert_eq(next(NOW), 4);
+	done(4, 1000, NOW);
+	cr_assert_eq(next(NOW), 3, "account 2 has less work than account 1");
+	done(3, 9000, NOW);
+	cr_assert_eq(next(NOW), 1);
+	done(1, 1000, NOW);
+	cr_assert_eq(next(NOW), 2);
+	done(2, 1000, NOW);
+	cr_assert_eq(next(NOW), 5);
+	cr_assert_eq(f.e[5].priority, BR_PRIORITIES - 1);
+	done(5, 1000, NOW);
+	cr_assert_eq(br_admission_in_flight(f.a), 0);
+	finish();
+}
+
+Test(admission, newest_first_when_set)
+{
+	setup_limit(1, 32, BR_ORDER_NEWEST);
+	for (int i = 0; i < 4; i++)
+		offer(i, 1, 3, NOW);
+	done(0, 1000, NOW);
+	cr_assert_eq(next(NOW), 3);
+	finish();
+}
+
+/* Guards against a full queue that keeps out what is more important than its content. */
+Test(admission, full_queue_evicts_the_least_important)
+{
+	setup_limit(1, 4, BR_ORDER_ADAPTIVE);
+	offer(0, 1, 0, NOW);
+	offer(1, 1, 5, NOW);
+	offer(2, 2, 5, NOW);
+	offer(3, 1, 5, NOW);
+	offer(4, 3, 2, NOW);
+	cr_assert_eq(offer(5, 1, 6, NOW), BR_ADMISSION_REFUSED);
+	cr_assert_eq(f.e[5].reason, BR_ADMISSION_FULL);
+	/* The newest of the account with the most entries of the lowest priority goes. */
+	cr_assert_eq(offer(6, 4, 1, NOW), BR_ADMISSION_QUEUED);
+	cr_assert_eq(f.last_dropped, 3);
+	cr_assert_eq(f.last_reason, BR_ADMISSION_EVICTED);
+	/* Of the same priority only an account with fewer entries gets a place. */
+	cr_assert_eq(offer(7, 1, 5, NOW), BR_ADMISSION_REFUSED);
+	cr_assert_eq(offer(8, 1, 0, NOW), BR_ADMISSION_QUEUED);
+	cr_assert_eq(offer(9, 1, 0, NOW), BR_ADMISSION_QUEUED);
+	cr_assert_eq(f.dropped, 3);
+	finish();
+	cr_assert_eq(f.last_reason, BR_ADMISSION_CLOSED);
+	cr_assert_eq(f.dropped, 7);
+}
+
+/* Guards against running what nobody waits for any more. */
+Test(admission, drops_expired_and_cancelled_entries)
+{
+	setup_limit(1, 32, BR_ORDER_ADAPTIVE);
+	offer(0, 1, 0, NOW);
+	f.e[1].deadline_us = NOW + 5000;
+	f.e[2].deadline_us = NOW + 3000;
+	for (int i = 1; i < 5; i++)
+		cr_assert_eq(offer(i, 1, 0, NOW), BR_ADMISSION_QUEUED);
+	br_admission_tick(f.a, NOW + 3000);
+	cr_assert_eq(f.last_dropped, 2);
+	cr_assert_eq(f.last_reason, BR_ADMISSION_EXPIRED);
+	cr_assert(br_admission_cancel(f.a, &f.e[3]));
+	cr_assert_not(br_admission_cancel(f.a, &f.e[3]), "an entry leaves once");
+	cr_assert_not(br_admission_cancel(f.a, &f.e[0]), "a running entry needs done");
+	done(0, 5000, NOW + 5000);
+	cr_assert_eq(next(NOW + 5000), 4);
+	cr_assert_eq(f.dropped, 2);
+	f.e[5].deadline_us = NOW;
+	cr_assert_eq(offer(5, 1, 0, NOW + 5000), BR_ADMISSION_REFUSED);
+	finish();
+}
+
+/* Guards against queueing what will certainly miss its deadline. */
+Test(admission, refuses_when_the_wait_exceeds_the_time_left)
+{
+	setup_limit(1, 32, BR_ORDER_OLDEST);
+	offer(0, 1, 3, NOW);
+	done(0, 10000, NOW);
+	for (int i = 0; i < 6; i++)
+		cr_assert_neq(offer(i, 1, 3, NOW), BR_ADMISSION_REFUSED);
+	f.e[6].deadline_us = f.e[7].deadline_us = NOW + 30000;
+	cr_assert_eq(offer(6, 1, 3, NOW), BR_ADMISSION_REFUSED);
+	cr_assert_eq(f.e[6].reason, BR_ADMISSION_LATE);
+	cr_assert_eq(offer(7, 1, 2, NOW), BR_ADMISSION_QUEUED, "a better priority waits less");
+	finish();
+}
+
+/* Guards against starting work beyond a limit that has shrunk. */
+Test(admission, follows_a_changed_limit)
+{
+	setup_limit(3, 32, BR_ORDER_ADAPTIVE);
+	for (int i = 0; i < 6; i++)
+		offer(i, 1, 0, NOW);
+	cr_assert_eq(br_admission_in_flight(f.a), 3);
+	br_admission_set_limit(f.a, 1);
+	done(0, 100, NOW);
+	cr_assert_eq(next(NOW), -1);
+	done(1, 100, NOW);
+	done(2, 100, NOW);
+	cr_assert_eq(next(NOW), 3);
+	br_admission_set_limit(f.a, 0);
+	cr_assert_eq(next(NOW), -1);
+	finish();
+}
+
+/* Offers a request every ms, 4 times the capacity of one slot; returns the ms of overload. */
+static int overload(uint64_t from_us, int ms, uint8_t priority, int *refused)
+{
+	static struct br_admission_entry pool[4000];
+	static int running;
+	int overloaded = 0;
+
+	for (int i = 0; i < ms; i++) {
+		uint64_t now = from_us + (uint64_t)i * BR_US_PER_MS;
+		struct br_admission_entry *e = &pool[i % 4000];
+
+		overloaded += br_admission_overloaded(f.a);
+		*e = (struct br_admission_entry){.account = 1, .priority = priority};
+		e->deadline_us = now + BR_US_PER_S;
+		switch (br_admission_offer(f.a, e, now)) {
+		case BR_ADMISSION_RUN:
+			running = i;
+			break;
+		case BR_ADMISSION_QUEUED:
+			break;
+		case BR_ADMISSION_REFUSED:
+			(*refused)++;
+			break;
+		}
+		if (i % 4 == 3 && br_admission_in_flight(f.a)) {
+			br_admission_done(f.a, &pool[running % 4000], 4000, now);
+			e = br_admission_next(f.a, now);
+			if (e)
+				running = (int)(e - pool);
+		}
+	}
+	if (br_admission_in_flight(f.a))
+		br_admission_done(f.a, &pool[running % 4000], 4000,
+				  from_us + (uint64_t)ms * BR_US_PER_MS);
+	br_admission_drop_all(f.a);
+	return overloaded;
+}
+
+/* Guards against a threshold that stays up under overload, or stays down after it. */
+Test(admission, threshold_follows_overload)
+{
+	int refused = 0;
+
+	setup_limit(1, 400, BR_ORDER_ADAPTIVE);
+	cr_assert_eq(br_admission_threshold(f.a), BR_THRESHOLD_MAX);
+	/* It is not overloaded all the time: the threshold then keeps the queue short. */
+	cr_assert_gt(overload(NOW, 4000, 6, &refused), 1000);
+	cr_assert_lt(br_admission_threshold(f.a), 7 * BR_SUBLEVELS);
+	cr_assert_gt(refused, 1000);
+	for (uint64_t t = 0; t <= 2 * BR_US_PER_S; t += 20 * BR_US_PER_MS)
+		br_admission_tick(f.a, NOW + 4 * BR_US_PER_S + t);
+	cr_assert_not(br_admission_overloaded(f.a));
+	cr_assert_eq(br_admission_threshold(f.a), BR_THRESHOLD_MAX);
+	finish();
+}
+
+/* Threads read the clock before they lock; an older time must not close windows. */
+Test(admission, tolerates_times_out_of_order)
+{
+	int refused = 0;
+
+	setup_limit(1, 400, BR_ORDER_ADAPTIVE);
+	overload(NOW, 4000, 6, &refused);
+	br_admission_tick(f.a, NOW);
+	f.e[0].deadline_us = NOW + 100;
+	cr_assert_eq(offer(0, 1, 6, NOW), BR_ADMISSION_REFUSED);
+	cr_assert_lt(br_admission_threshold(f.a), 7 * BR_SUBLEVELS);
+	finish();
+}
+
+/* Priority 0 is refused only by a full queue or its deadline, whatever the threshold. */
+Test(admission, threshold_spares_priority_zero)
+{
+	int refused = 0;
+
+	setup_limit(1, 4000, BR_ORDER_ADAPTIVE);
+	cr_assert_gt(overload(NOW, 4000, 0, &refused), 3000);
+	cr_assert_geq(br_admission_threshold(f.a), BR_THRESHOLD_MIN);
+	cr_assert_eq(br_admission_counters(f.a)->dropped[BR_ADMISSION_THRESHOLD], 0);
+	finish();
+}
+
+/* More accounts than are tracked share one state; idle ones are forgotten. */
+Test(admission, bounds_the_number_of_accounts)
+{
+	setup_limit(1, 60, BR_ORDER_ADAPTIVE);
+	for (int i = 0; i < 50; i++)
+		offer(i, 1000 + (uint64_t)i, 4, NOW);
+	for (int i = 0; i < 50; i++) {
+		int k = i ? next(NOW) : 0;
+
+		cr_assert_geq(k, 0);
+		done(k, 100, NOW);
+	}
+	br_admission_tick(f.a, NOW + 10 * BR_US_PER_S);
+	cr_assert_eq(offer(50, 5000, 4, NOW + 10 * BR_US_PER_S), BR_ADMISSION_RUN);
+	done(50, 100, NOW + 10 * BR_US_PER_S);
+	finish();
+}
+
+Test(admission, checks_its_configuration)
+{
+	struct br_admission_cfg cfg = {.limit = 1, .queue_max = 1};
+
+	cr_assert_null(br_admission_create(&cfg));
+	for (int r = 0; r < BR_ADMISSION_REASONS; r++)
+		cr_assert_str_neq(br_admission_reason_text((enum br_admission_reason)r), "unknown");
+}
--- /dev/null
+++ b/tests/unit/balance.c
@@ -0,0 +1,203 @@
+#include "briarreel/balance.h"
+
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#define NOW (100 * BR_US_PER_S)
+#define PICKS 2000
+
+struct fixture {
+	struct br_balance *b;
+	struct br_rng rng;
+	struct br_balance_candidate c[4];
+	int count[4];
+};
+
+/* Candidates 0 and 1 are in zone "a", 2 and 3 in zone "b"; all have a limit of 10. */
+static struct fixture fixture_create(void)
+{
+	struct fixture f = {.b = br_balance_create(10 * BR_US_PER_S)};
+
+	br_rng_seed(&f.rng, 5);
+	for (int i = 0; i < 4; i++) {
+		snprintf(f.c[i].id.text, sizeof(f.c[i].id.text), "10.0.0.%d:80", i);
+		f.c[i].zone = i < 2 ? "a" : "b";
+		br_balance_note_start(f.b, &f.c[i].id, NOW);
+		br_balance_note_end(f.b, &f.c[i].id, BR_BALANCE_OK, NOW);
+		br_balance_note_report(f.b, &f.c[i].id, 0, 10, NOW);
+	}
+	return f;
+}
+
+static void pick_many(struct fixture *f, size_t n, uint64_t now_us)
+{
+	memset(f->count, 0, sizeof(f->count));
+	for (int i = 0; i < PICKS; i++) {
+		int k = br_balance_pick(f->b, f->c, n, "a", NULL, 0, &f->rng, now_us);
+
+		cr_assert(k >= 0 && k < (int)n);
+		f->count[k]++;
+	}
+}
+
+static void fail_many(struct fixture *f, int target, uint64_t from_us)
+{
+	for (uint64_t i = 0; i < 40; i++) {
+		br_balance_note_start(f->b, &f->c[target].id, from_us);
+		br_balance_note_end(f->b, &f->c[target].id, BR_BALANCE_ERROR,
+				    from_us + i * 20 * BR_US_PER_MS);
+	}
+}
+
+/* Guards against needless hops to other zones, and against overload beside idle zones. */
+Test(balance, prefers_its_zone_and_spills_over)
+{
+	struct fixture f = fixture_create();
+
+	pick_many(&f, 4, NOW);
+	cr_assert_eq(f.count[2] + f.count[3], 0);
+	for (int i = 0; i < 18; i++)
+		br_balance_note_start(f.b, &f.c[i % 2].id, NOW);
+	pick_many(&f, 4, NOW);
+	cr_assert_gt(f.count[2] + f.count[3], PICKS / 2);
+	cr_assert_gt(br_balance_counters(f.b)->spilled, 0);
+	cr_assert_eq(br_balance_pick(f.b, f.c, 2, "z", NULL, 0, &f.rng, NOW) < 2, true);
+	br_balance_destroy(f.b);
+}
+
+/* The loaded one of two targets gets less; an old report counts less than a new one. */
+Test(balance, compares_load_and_discounts_old_reports)
+{
+	struct fixture f = fixture_create();
+
+	br_balance_note_report(f.b, &f.c[0].id, 6, 10, NOW);
+	pick_many(&f, 2, NOW);
+	cr_assert_eq(f.count[0], 0);
+	br_balance_note_start(f.b, &f.c[1].id, NOW);
+	pick_many(&f, 2, NOW + 30 * BR_US_PER_S);
+	cr_assert_eq(f.count[1], 0);
+	br_balance_destroy(f.b);
+}
+
+/* The own part of the reported count must not be counted twice. */
+Test(balance, own_requests_count_once)
+{
+	struct fixture f = fixture_create();
+
+	for (int i = 0; i < 5; i++) {
+		br_balance_note_start(f.b, &f.c[0].id, NOW);
+		br_balance_note_start(f.b, &f.c[1].id, NOW);
+	}
+	br_balance_note_report(f.b, &f.c[0].id, 5, 10, NOW);
+	br_balance_note_report(f.b, &f.c[1].id, 5, 10, NOW);
+	cr_assert_eq(br_balance_outstanding(f.b, &f.c[0].id), 5);
+	pick_many(&f, 4, NOW);
+	cr_assert_eq(f.count[2] + f.count[3], 0);
+	br_balance_destroy(f.b);
+}
+
+/* Guards against a cold target that gets a full share at once. */
+Test(balance, ramps_up_new_targets)
+{
+	struct fixture f = fixture_create();
+
+	f.c[1].joined_us = NOW - 1 * BR_US_PER_S;
+	for (int i = 2; i < 4; i++)
+		f.c[i].zone = "a";
+	br_balance_note_report(f.b, &f.c[0].id, 1, 10, NOW);
+	br_balance_note_report(f.b, &f.c[2].id, 1, 10, NOW);
+	br_balance_note_report(f.b, &f.c[3].id, 1, 10, NOW);
+	pick_many(&f, 4, NOW);
+	cr_assert(f.count[1] > 0 && f.count[1] < PICKS / 10, "%d", f.count[1]);
+	pick_many(&f, 4, NOW + 10 * BR_US_PER_S);
+	cr_assert_gt(f.count[1], PICKS / 3);
+	br_balance_destroy(f.b);
+}
+
+/* Guards against repeated connects to a dead peer, and against never trying it again. */
+Test(balance, skips_failed_connects_with_back_off)
+{
+	struct fixture f = fixture_create();
+	uint64_t t = NOW;
+
+	br_balance_note_failure(f.b, &f.c[0].id, t);
+	br_balance_note_failure(f.b, &f.c[0].id, t);
+	pick_many(&f, 2, t + 99 * BR_US_PER_MS);
+	cr_assert_eq(f.count[0], 0);
+	pick_many(&f, 2, t + 101 * BR_US_PER_MS);
+	cr_assert_gt(f.count[0], 0);
+	for (int i = 0; i < 10; i++) {
+		t += 3 * BR_US_PER_S;
+		br_balance_note_failure(f.b, &f.c[0].id, t);
+	}
+	pick_many(&f, 2, t + 1999 * BR_US_PER_MS);
+	cr_assert_eq(f.count[0], 0);
+	pick_many(&f, 2, t + 2001 * BR_US_PER_MS);
+	cr_assert_gt(f.count[0], 0);
+	br_balance_destroy(f.b);
+}
+
+/* A retry must go to another target, or nowhere. */
+Test(balance, excludes_targets_already_tried)
+{
+	struct fixture f = fixture_create();
+	struct br_node_id tried[2] = {f.c[0].id, f.c[1].id};
+
+	for (int i = 0; i < 100; i++)
+		cr_assert_eq(br_balance_pick(f.b, f.c, 2, "a", tried, 1, &f.rng, NOW), 1);
+	cr_assert_geq(br_balance_pick(f.b, f.c, 4, "a", tried, 2, &f.rng, NOW), 2);
+	cr_assert_eq(br_balance_pick(f.b, f.c, 2, "a", tried, 2, &f.rng, NOW), -ENOENT);
+	cr_assert_eq(br_balance_pick(f.b, f.c, 0, "a", NULL, 0, &f.rng, NOW), -ENOENT);
+	br_balance_destroy(f.b);
+}
+
+/* Guards against a target that fails fast and so draws load, and against ejecting all of them. */
+Test(balance, ejects_failing_targets_but_not_all)
+{
+	struct fixture f = fixture_create();
+	uint64_t t = NOW + 800 * BR_US_PER_MS;
+
+	fail_many(&f, 0, NOW);
+	pick_many(&f, 2, t);
+	cr_assert_eq(f.count[0], 0);
+	fail_many(&f, 1, NOW);
+	pick_many(&f, 2, t);
+	cr_assert(f.count[0] > 0 && f.count[1] > 0);
+	pick_many(&f, 2, t + 2 * BR_US_PER_S);
+	cr_assert_gt(f.count[0], 0);
+	cr_assert_eq(br_balance_counters(f.b)->ejections, 2);
+	br_balance_destroy(f.b);
+}
+
+/* One success among the errors, or refusals for overload, must not eject a target. */
+Test(balance, keeps_targets_that_also_succeed)
+{
+	struct fixture f = fixture_create();
+
+	for (uint64_t i = 0; i < 400; i++) {
+		br_balance_note_start(f.b, &f.c[0].id, NOW);
+		br_balance_note_end(f.b, &f.c[0].id, i % 15 ? BR_BALANCE_ERROR : BR_BALANCE_OK,
+				    NOW + i * 10 * BR_US_PER_MS);
+		br_balance_note_start(f.b, &f.c[1].id, NOW);
+		br_balance_note_end(f.b, &f.c[1].id, BR_BALANCE_REFUSED,
+				    NOW + i * 10 * BR_US_PER_MS);
+	}
+	cr_assert_eq(br_balance_counters(f.b)->ejections, 0);
+	br_balance_destroy(f.b);
+}
+
+/* A forgotten member keeps its outstanding count until those requests end. */
+Test(balance, forgets_dead_members)
+{
+	struct fixture f = fixture_create();
+
+	br_balance_note_start(f.b, &f.c[0].id, NOW);
+	br_balance_forget(f.b, &f.c[0].id);
+	br_balance_forget(f.b, &f.c[1].id);
+	cr_assert_eq(br_balance_outstanding(f.b, &f.c[0].id), 1);
+	br_balance_note_end(f.b, &f.c[0].id, BR_BALANCE_ERROR, NOW);
+	cr_assert_eq(br_balance_outstanding(f.b, &f.c[0].id), 0);
+	br_balance_destroy(f.b);
+}
