--- a/lib/admission_internal.h
+++ b/lib/admission_internal.h
@@ -55,6 +55,7 @@
 	struct br_admission_accounts accounts;
 	double service_us;
 
+	uint64_t last_us;
 	uint64_t window_start_us;
 	uint64_t min_delay_us;
 	bool overloaded;
@@ -80,8 +81,12 @@
 struct br_admission_entry *br_queue_victim(struct br_admission *a,
 					   const struct br_admission_entry *e);
 
-/** True if an account's requests are taken newest first at present. */
-bool br_queue_newest_first(const struct br_admission *a);
+/**
+ * True if an account's requests of a priority are taken newest first at present: while overloaded,
+ * and only at priorities that the threshold cuts into. More important ones fit, so that the oldest
+ * of them would expire without need.
+ */
+bool br_queue_newest_first(const struct br_admission *a, int priority);
 
 /* admission_share.c */
 
