Read the rest of a request body before closing the connection

Cause: a reply with close set that was sent before the body was read could be lost, because closing a socket with unread data resets the connection. A refusal while a node is stopping would thus look like an unknown outcome. Change: http_server_reply() discards up to 64 MiB of body first when the connection is to be closed; CivetWeb already does so on connections that stay open.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -11,6 +11,8 @@
 
 #define REPLY_HEAD_BYTES 16384
 #define BODY_CHUNK_BYTES 16384
+/* A body larger than this is not read to its end before the connection is closed. */
+#define DISCARD_MAX_BYTES (64UL << 20)
 
 struct http_server {
 	struct mg_context *ctx;
@@ -141,6 +143,22 @@
 	return 0;
 }
 
+/*
+ * Closing a socket with unread data resets the connection, which can destroy the reply on its way.
+ * CivetWeb reads the rest of a body only on connections that stay open.
+ */
+static void discard_body(struct mg_connection *conn)
+{
+	char chunk[4096];
+	size_t total = 0;
+	int n;
+
+	do {
+		n = mg_read(conn, chunk, sizeof(chunk));
+		total += n > 0 ? (size_t)n : 0;
+	} while (n > 0 && total < DISCARD_MAX_BYTES);
+}
+
 int http_server_reply(struct mg_connection *conn, const struct http_reply *reply)
 {
 	char *buf = malloc(REPLY_HEAD_BYTES + reply->body_len);
@@ -150,8 +168,10 @@
 
 	if (!buf)
 		return -ENOMEM;
-	if (reply->close)
+	if (reply->close) {
+		discard_body(conn);
 		mg_disable_keep_alive(conn);
+	}
 	n = snprintf(buf, REPLY_HEAD_BYTES, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s",
 		     reply->status, mg_get_response_code_text(conn, reply->status), reply->body_len,
 		     reply->close ? "Connection: close\r\n" : "");
