Keep connections open after refusals in the stand-ins

Cause: standin-platform closed the connection after answering 413 or 503 with the body unread, which sometimes reset it before the answer arrived. Change: refusals keep the connection, on which CivetWeb reads the rest of the body.

--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -109,7 +109,6 @@
 	int ret = http_server_read_body(call->conn, VALUE_MAX_BYTES, &body, &len);
 
 	if (ret) {
-		mg_disable_keep_alive(call->conn);
 		reply_text(call, ret == -EMSGSIZE ? 413 : 400, "value is too large or truncated\n");
 		return;
 	}
@@ -271,7 +270,6 @@
 	}
 	call.mode = fault_enter(kind, &ms);
 	if (call.mode == FAULT_DOWN) {
-		mg_disable_keep_alive(conn);
 		reply_text(&call, 503, "unavailable\n");
 		return;
 	}
--- a/standins/target/main.c
+++ b/standins/target/main.c
@@ -191,7 +191,6 @@
 	if (deadline)
 		req.deadline_us = clock_now_us() + strtoull(deadline, NULL, 10) * 1000;
 	if (http_server_read_body(conn, BODY_MAX_BYTES, &body, &len)) {
-		mg_disable_keep_alive(conn);
 		reply(conn, req.id, 400, false, 0, "request body is too large or truncated\n", 39);
 		return;
 	}
