Keep the limiter's fast start until its reference is measured well

Change: a step down ends fast growth only once measuring intervals are at their longest; at most two steps down at once.

--- a/include/briarreel/admission.h
+++ b/include/briarreel/admission.h
@@ -93,7 +93,7 @@
 
 /** The order of one account's requests of the same priority. */
 enum br_admission_order {
-	/** Oldest first, newest first while overloaded. */
+	/** Oldest first; newest first while overloaded, at priorities that the threshold cuts into. */
 	BR_ORDER_ADAPTIVE,
 	BR_ORDER_OLDEST,
 	BR_ORDER_NEWEST,
--- a/include/briarreel/limiter.h
+++ b/include/briarreel/limiter.h
@@ -2,12 +2,13 @@
  * @file limiter.h
  * Adaptive concurrency limit of one target, from measured service times and shed signals.
  *
- * Additive increase while the limit is in use and service times stay near their recent minimum;
- * multiplicative decrease when they rise or the target sheds. Service times are compared per class
- * of request with the smallest recent window mean of that class, and a rise counts only if it
- * exceeds the sampling error of the window, so that a mix of long and short requests is not taken
- * for overload. Decreases that do not shorten the service times are undone: the target is then
- * slow for another reason than concurrency. Not thread-safe; the caller locks.
+ * Small increases while the limit is in use and service times stay near a reference without
+ * congestion; multiplicative decrease when they rise or the target sheds. The reference is measured
+ * in short phases at three quarters of the limit, per class of request, on logarithms of service
+ * times; a rise counts only beyond the sampling error, so that a mix of long and short requests is
+ * not taken for overload. Decreases that do not shorten the service times are undone, and a rise
+ * at or below the limit of the reference is taken into it: the target is then slow for another
+ * reason than concurrency. Not thread-safe; the caller locks.
  */
 #ifndef BRIARREEL_LIMITER_H
 #define BRIARREEL_LIMITER_H
--- a/lib/limiter.c
+++ b/lib/limiter.c
@@ -28,7 +28,7 @@
 #define STEP_UP 0.02
 #define STEP_DOWN 0.025
 /* Most steps down at once, for an excess of as many times the first threshold. */
-#define STEPS_MAX 4
+#define STEPS_MAX 2
 #define SETTLE_MAX_US (500 * BR_US_PER_MS)
 /* Weight of a window in the smoothed excess that decides on the steps. */
 #define SMOOTHING 0.2
@@ -280,7 +280,9 @@
 {
 	double times = l->smoothed / EXCESS_STEP_DOWN;
 
-	l->cold = false;
+	/* Early references are too rough to end the fast growth after a start; a cut does. */
+	if (l->probe_interval_us >= PROBE_INTERVAL_US)
+		l->cold = false;
 	set_limit(l, l->limit * (1 - STEP_DOWN * (times < STEPS_MAX ? times : STEPS_MAX)));
 }
 
