--- a/tests/random/rates.c
+++ b/tests/random/rates.c
@@ -351,8 +351,9 @@
 		res.value = k->present ? k->value : NULL;
 		res.value_len = strlen(k->value);
 	}
-	for (uint32_t i = 0;
-	     e->op->kind == BR_SLOT_OP_LIST && res.status == BR_SLOT_OK && i < s->n_slots; i++) {
+	for (uint32_t i = 0; e->keys && e->op->kind == BR_SLOT_OP_LIST &&
+			     res.status == BR_SLOT_OK && i < s->n_slots;
+	     i++) {
 		if (e->keys[i].present)
 			br_slots_observe(n->slots, i, e->keys[i].value, strlen(e->keys[i].value),
 					 e->keys[i].rev, local(s, n));
@@ -416,7 +417,8 @@
 /* Few kinds of faults in a run let the rate be used up, so that a small excess shows. */
 static void choose_faults(struct sim *s)
 {
-	s->kinds = 1U << rnd(s, 9) | 1U << rnd(s, 9);
+	s->kinds = 1U << rnd(s, 9);
+	s->kinds |= 1U << rnd(s, 9);
 	if (!rnd(s, 4))
 		s->kinds = 0x1ff;
 	if (rnd(s, 3) == 0)
@@ -558,7 +560,7 @@
 			(struct br_slot_retired){e->holder.node, e->holder.incarnation};
 	} else if (e->kind == EV_START) {
 		start_node(s, -1 - e->node);
-	} else if (n->alive && (!e->incarnation || e->incarnation == n->incarnation)) {
+	} else if (n && n->alive && (!e->incarnation || e->incarnation == n->incarnation)) {
 		if (s->now_us < n->paused_until_us) {
 			push(s, e, n->paused_until_us);
 			return;
