Add include, number, compare and raw to the harness

The scripts of a whole mesh share their start, count requests over several programs and send malformed bytes, which the harness could not do.

--- a/tests/scripts/command.c
+++ b/tests/scripts/command.c
@@ -346,6 +346,8 @@
 	{"show", 2, cmd_show},
 	{"echo", 1, cmd_echo},
 	{"limit", 2, cmd_limit},
+	{"number", 3, cmd_number},
+	{"raw", 4, cmd_raw},
 };
 
 void command_run(struct script_ctx *ctx, int argc, char **argv, const char *heredoc)
--- a/tests/scripts/condition.c
+++ b/tests/scripts/condition.c
@@ -14,11 +14,9 @@
 	condition_fn fn;
 };
 
-static bool compare(double a, const char *op, const char *text)
+static bool compare(double a, const char *op, double b)
 {
-	double b = strtod(text, NULL);
-
-	if (isnan(a))
+	if (isnan(a) || isnan(b))
 		return false;
 	if (!strcmp(op, "=="))
 		return a == b;
@@ -71,16 +69,21 @@
 	return sum;
 }
 
-/* value ADDRESS PATH REGEX OP NUMBER */
-static bool value_compares(struct script_ctx *ctx, char **argv)
+double condition_value(const char *address, const char *path, const char *regex)
 {
 	int status;
-	char *body = http_get(argv[1], argv[2], &status);
-	bool holds = compare(sum_lines(body, argv[3]), argv[4], argv[5]);
+	char *body = http_get(address, path, &status);
+	double sum = sum_lines(body, regex);
 
-	(void)ctx;
 	free(body);
-	return holds;
+	return sum;
+}
+
+/* value ADDRESS PATH REGEX OP NUMBER */
+static bool value_compares(struct script_ctx *ctx, char **argv)
+{
+	(void)ctx;
+	return compare(condition_value(argv[1], argv[2], argv[3]), argv[4], strtod(argv[5], NULL));
 }
 
 /* counter ADDRESS REGEX OP NUMBER */
@@ -112,8 +115,7 @@
 	return process_ended(ctx->script, argv[1]);
 }
 
-/* Number at a path such as "streams.0.answered" in a JSON file; NAN if there is none. */
-static double json_number(const struct script_ctx *ctx, const char *file, const char *path)
+double condition_json(const struct script_ctx *ctx, const char *file, const char *path)
 {
 	char name[160];
 	char parts[160];
@@ -141,23 +143,30 @@
 /* json FILE PATH OP NUMBER */
 static bool json_compares(struct script_ctx *ctx, char **argv)
 {
-	return compare(json_number(ctx, argv[1], argv[2]), argv[3], argv[4]);
+	return compare(condition_json(ctx, argv[1], argv[2]), argv[3], strtod(argv[4], NULL));
 }
 
 /* ratio FILE PATH PATH OP NUMBER */
 static bool ratio_compares(struct script_ctx *ctx, char **argv)
 {
-	double a = json_number(ctx, argv[1], argv[2]);
-	double b = json_number(ctx, argv[1], argv[3]);
+	double a = condition_json(ctx, argv[1], argv[2]);
+	double b = condition_json(ctx, argv[1], argv[3]);
 
-	return b != 0 && compare(a / b, argv[4], argv[5]);
+	return b != 0 && compare(a / b, argv[4], strtod(argv[5], NULL));
+}
+
+/* compare NUMBER OP NUMBER: variables are named without $, so their values are not printed. */
+static bool numbers_compare(struct script_ctx *ctx, char **argv)
+{
+	return compare(number_of(ctx->script, argv[1]), argv[2], number_of(ctx->script, argv[3]));
 }
 
 static const struct condition conditions[] = {
-	{"http", 4, http_code},	      {"body", 4, body_matches},
-	{"value", 6, value_compares}, {"counter", 5, counter_compares},
-	{"log", 3, log_matches},      {"exited", 2, has_exited},
-	{"json", 5, json_compares},   {"ratio", 6, ratio_compares},
+	{"http", 4, http_code},		 {"body", 4, body_matches},
+	{"value", 6, value_compares},	 {"counter", 5, counter_compares},
+	{"log", 3, log_matches},	 {"exited", 2, has_exited},
+	{"json", 5, json_compares},	 {"ratio", 6, ratio_compares},
+	{"compare", 4, numbers_compare},
 };
 
 bool condition_holds(struct script_ctx *ctx, int argc, char **argv, bool *known)
--- a/tests/scripts/interpreter.c
+++ b/tests/scripts/interpreter.c
@@ -175,22 +175,41 @@
 	}
 }
 
-static void split_lines(struct script *s, char *text)
+static void add_line(struct script *s, char *line)
 {
-	size_t cap = 0;
+	/* The array doubles whenever its number of lines reaches a power of two. */
+	if (!(s->n_lines & (s->n_lines - 1))) {
+		size_t cap = s->n_lines ? s->n_lines * 2 : 1;
+
+		s->lines = realloc(s->lines, cap * sizeof(s->lines[0]));
+		if (!s->lines)
+			abort();
+	}
+	s->lines[s->n_lines++] = line;
+}
+
+/* Splits text in place; the lines of an included file take the place of "include FILE". */
+static void split_lines(struct script_ctx *ctx, char *text, bool included)
+{
+	struct script *s = ctx->script;
 
 	while (text && *text) {
 		char *end = strchr(text, '\n');
+		char path[256];
+		char *more;
 
-		if (s->n_lines == cap) {
-			cap = cap ? cap * 2 : 256;
-			s->lines = realloc(s->lines, cap * sizeof(s->lines[0]));
-			if (!s->lines)
-				abort();
-		}
-		s->lines[s->n_lines++] = text;
 		if (end)
 			*end++ = '\0';
+		if (!included && begins_with_word(text, "include")) {
+			snprintf(path, sizeof(path), SCRIPT_DIR "/%s", text + strlen("include "));
+			more = s->included ? NULL : text_read_file(path, NULL);
+			if (!more)
+				script_fail(ctx, "%s: cannot read, or a second file", text);
+			s->included = more;
+			split_lines(ctx, more, true);
+		} else {
+			add_line(s, text);
+		}
 		text = end;
 	}
 }
@@ -199,11 +218,12 @@
 {
 	struct script_ctx ctx = {.script = s};
 
-	split_lines(s, text);
 	text_add(&ctx.out, "", 0);
+	split_lines(&ctx, text, false);
 	run_lines(&ctx, 0, s->n_lines);
 	http_pool_destroy(s->kept);
 	s->kept = NULL;
 	free(s->lines);
+	free(s->included);
 	*out = ctx.out;
 }
--- /dev/null
+++ b/tests/scripts/raw.c
@@ -0,0 +1,109 @@
+#include "common/clock.h"
+#include "script.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ANSWER_LIMIT_MS 20000
+
+static int connect_to(const char *address)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	const char *colon = strchr(address, ':');
+	char ip[32];
+	int fd;
+
+	if (!colon)
+		return -1;
+	snprintf(ip, sizeof(ip), "%.*s", (int)(colon - address), address);
+	sa.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	if (inet_pton(AF_INET, ip, &sa.sin_addr) != 1)
+		return -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd >= 0 && connect(fd, (struct sockaddr *)&sa, sizeof(sa))) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+/* Replaces \r, \n, \xHH and \\. */
+static void unescape(const char *from, struct text *to)
+{
+	text_add(to, "", 0);
+	for (; *from; from++) {
+		char c = *from;
+
+		if (c == '\\' && from[1]) {
+			c = *++from;
+			if (c == 'r') {
+				c = '\r';
+			} else if (c == 'n') {
+				c = '\n';
+			} else if (c == 'x' && from[1] && from[2]) {
+				char hex[3] = {from[1], from[2], '\0'};
+
+				c = (char)strtoul(hex, NULL, 16);
+				from += 2;
+			}
+		}
+		text_add(to, &c, 1);
+	}
+}
+
+/* Reads the first bytes of the answer; 0 if the other side closes or nothing comes. */
+static size_t read_answer(int fd, char *buf, size_t bytes)
+{
+	uint64_t end_us = clock_now_us() + ANSWER_LIMIT_MS * 1000ULL;
+	size_t used = 0;
+
+	while (used < bytes && clock_now_us() < end_us) {
+		struct pollfd p = {.fd = fd, .events = POLLIN};
+		ssize_t n;
+
+		if (poll(&p, 1, 100) <= 0)
+			continue;
+		n = recv(fd, buf + used, bytes - used, 0);
+		if (n <= 0)
+			break;
+		used += (size_t)n;
+	}
+	return used;
+}
+
+void cmd_raw(struct script_ctx *ctx, int argc, char **argv, const char *heredoc)
+{
+	struct text data = {0};
+	char answer[13] = "";
+	size_t sent = 0;
+	int fd = connect_to(argv[2]);
+	size_t n;
+
+	(void)argc;
+	(void)heredoc;
+	if (fd < 0) {
+		text_printf(&ctx->out, "%s -> no connection\n", argv[1]);
+		return;
+	}
+	unescape(argv[3], &data);
+	while (sent < data.len) {
+		ssize_t ret = send(fd, data.data + sent, data.len - sent, MSG_NOSIGNAL);
+
+		if (ret <= 0)
+			break;
+		sent += (size_t)ret;
+	}
+	shutdown(fd, SHUT_WR);
+	n = read_answer(fd, answer, sizeof(answer) - 1);
+	close(fd);
+	free(data.data);
+	if (n == sizeof(answer) - 1 && !strncmp(answer, "HTTP/1.", 7))
+		text_printf(&ctx->out, "%s -> %s\n", argv[1], answer + 9);
+	else
+		text_printf(&ctx->out, "%s -> no HTTP answer\n", argv[1]);
+}
--- a/tests/scripts/runner.c
+++ b/tests/scripts/runner.c
@@ -14,7 +14,6 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#define SCRIPT_DIR "tests/scripts"
 #define DEFAULT_LIMIT_S 120
 #define MAX_SCRIPTS 256
 #define STDERR_TAIL_BYTES 3000
--- a/tests/scripts/script.h
+++ b/tests/scripts/script.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
+#define SCRIPT_DIR "tests/scripts"
 #define SCRIPT_MAX_WORDS 64
 #define SCRIPT_MAX_VARS 128
 #define SCRIPT_MAX_PROCS 64
@@ -48,6 +49,8 @@
 	char build[256];
 	char **lines;
 	size_t n_lines;
+	/** Text of the included file, if there is one. */
+	char *included;
 	uint64_t end_us;
 	atomic_bool failed;
 	pthread_mutex_t lock;
@@ -105,6 +108,19 @@
 /** Evaluates a condition; *known is false if it is not a condition. */
 bool condition_holds(struct script_ctx *ctx, int argc, char **argv, bool *known);
 
+/** Sum of the last words of the lines of a GET that match; NAN if there is no answer. */
+double condition_value(const char *address, const char *path, const char *regex);
+/** Number at a path such as "streams.0.answered" in a JSON file; NAN if there is none. */
+double condition_json(const struct script_ctx *ctx, const char *file, const char *path);
+
+/* number.c */
+/** Value of a variable or number, with an optional minus; NAN if it is neither. */
+double number_of(struct script *s, const char *word);
+void cmd_number(struct script_ctx *ctx, int argc, char **argv, const char *heredoc);
+
+/* raw.c */
+void cmd_raw(struct script_ctx *ctx, int argc, char **argv, const char *heredoc);
+
 /* command.c */
 /** Runs one command line that is already split. */
 void command_run(struct script_ctx *ctx, int argc, char **argv, const char *heredoc);
