Stop all listeners of a node at once

CivetWeb notices a stop on idle kept-alive connections after up to 2 s, and the four listeners were stopped one after the other. The harness ends the first process of a script last, because nodes that stop release their slots at the platform: with both ended at once the nodes waited for all of stop_timeout_s (30 s).

--- a/node/main.c
+++ b/node/main.c
@@ -17,6 +17,7 @@
 #include <civetweb.h>
 #include <errno.h>
 #include <popt.h>
+#include <pthread.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -161,6 +162,28 @@
 		 node->settings->stop_timeout_s);
 }
 
+static void *close_listener(void *arg)
+{
+	http_server_destroy(arg);
+	return NULL;
+}
+
+/* CivetWeb notices a stop on idle connections after up to 2 s, so all listeners stop at once. */
+static void close_listeners(struct http_server *servers[LISTENERS])
+{
+	pthread_t threads[LISTENERS];
+	bool started[LISTENERS];
+
+	for (int i = 0; i < LISTENERS; i++) {
+		started[i] = !pthread_create(&threads[i], NULL, close_listener, servers[i]);
+		if (!started[i])
+			http_server_destroy(servers[i]);
+	}
+	for (int i = 0; i < LISTENERS; i++)
+		if (started[i])
+			pthread_join(threads[i], NULL);
+}
+
 static int run(const struct node_settings *settings)
 {
 	struct http_server *servers[LISTENERS] = {NULL};
@@ -189,8 +212,7 @@
 	log_notice("Signal %d: stopping.", sig);
 	stop_gracefully(&node);
 	log_info("Closing listeners.");
-	for (int i = 0; i < LISTENERS; i++)
-		http_server_destroy(servers[i]);
+	close_listeners(servers);
 	destroy_parts(&node);
 	log_notice("Stopped.");
 	return 0;
--- a/tests/scripts/condition.c
+++ b/tests/scripts/condition.c
@@ -69,13 +69,20 @@
 	return sum;
 }
 
-double condition_value(const char *address, const char *path, const char *regex)
+double condition_value(const char *addresses, const char *path, const char *regex)
 {
-	int status;
-	char *body = http_get(address, path, &status);
-	double sum = sum_lines(body, regex);
+	char list[256];
+	double sum = 0;
+	char *save;
 
-	free(body);
+	snprintf(list, sizeof(list), "%s", addresses);
+	for (char *a = strtok_r(list, ",", &save); a; a = strtok_r(NULL, ",", &save)) {
+		int status;
+		char *body = http_get(a, path, &status);
+
+		sum += sum_lines(body, regex);
+		free(body);
+	}
 	return sum;
 }
 
--- a/tests/scripts/process.c
+++ b/tests/scripts/process.c
@@ -227,19 +227,28 @@
 	report_sanitizer(s, p, report);
 }
 
-void process_end_all(struct script *s, struct text *report)
+static void terminate(struct script *s, size_t from, size_t to)
 {
-	uint64_t end_us = clock_now_us() + STOP_LIMIT_US;
-
-	pthread_mutex_lock(&s->lock);
-	for (size_t i = 0; i < s->n_procs; i++) {
+	for (size_t i = from; i < to && i < s->n_procs; i++) {
 		if (reap(&s->procs[i]))
 			continue;
 		kill(s->procs[i].pid, SIGTERM);
 		kill(s->procs[i].pid, SIGCONT);
 	}
-	for (size_t i = 0; i < s->n_procs; i++)
+}
+
+void process_end_all(struct script *s, struct text *report)
+{
+	uint64_t end_us = clock_now_us() + STOP_LIMIT_US;
+
+	pthread_mutex_lock(&s->lock);
+	/* Nodes release their slots at the platform when they stop, so the first process ends last. */
+	terminate(s, 1, s->n_procs);
+	for (size_t i = 1; i < s->n_procs; i++)
 		end_process(s, &s->procs[i], end_us, report);
+	terminate(s, 0, 1);
+	for (size_t i = 0; i < 1 && i < s->n_procs; i++)
+		end_process(s, &s->procs[i], clock_now_us() + STOP_LIMIT_US, report);
 	for (size_t i = 0; i < s->n_vars; i++)
 		if (s->vars[i].holder >= 0)
 			close(s->vars[i].holder);
--- a/tests/scripts/script.h
+++ b/tests/scripts/script.h
@@ -108,8 +108,11 @@
 /** Evaluates a condition; *known is false if it is not a condition. */
 bool condition_holds(struct script_ctx *ctx, int argc, char **argv, bool *known);
 
-/** Sum of the last words of the lines of a GET that match; NAN if there is no answer. */
-double condition_value(const char *address, const char *path, const char *regex);
+/**
+ * Sum of the last words of matching lines of a GET at each address of a list with commas; NAN if
+ * one does not answer.
+ */
+double condition_value(const char *addresses, const char *path, const char *regex);
 /** Number at a path such as "streams.0.answered" in a JSON file; NAN if there is none. */
 double condition_json(const struct script_ctx *ctx, const char *file, const char *path);
 
