Refuse request bodies with broken chunks or ambiguous length

http_server_read_body() took every error of mg_read() for the end of the body, so a chunked body that was cut off, or had a malformed chunk, ran as if it were whole (mesh-identity: truncated-chunks and bad-chunk answered 200 and were in the target's log). Bodies with Content-Length were counted and are not affected. Requests with two lengths, or with a length and chunks, ran as well; RFC 9112 6.3 lets programs read these differently, so they are refused, and the connection is closed after any body that was not read whole. After: all four answer 400 and do not run; a whole chunked body runs.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #define REPLY_HEAD_BYTES 16384
 #define BODY_CHUNK_BYTES 16384
@@ -97,7 +98,21 @@
 	return ports[0].port;
 }
 
-int http_server_read_body(struct mg_connection *conn, size_t max_bytes, char **body, size_t *len)
+/*
+ * A request with several lengths, or with a length and chunks, is read differently by different
+ * programs (RFC 9112, 6.3), so it is refused.
+ */
+static bool framing_is_ambiguous(const struct mg_request_info *ri)
+{
+	int n = 0;
+
+	for (int i = 0; i < ri->num_headers; i++)
+		n += !strcasecmp(ri->http_headers[i].name, "Content-Length") ||
+		     !strcasecmp(ri->http_headers[i].name, "Transfer-Encoding");
+	return n > 1;
+}
+
+static int read_body(struct mg_connection *conn, size_t max_bytes, char **body, size_t *len)
 {
 	const struct mg_request_info *ri = mg_get_request_info(conn);
 	long long content_length = ri->content_length;
@@ -105,8 +120,8 @@
 	size_t used = 0;
 	char *buf;
 
-	*body = NULL;
-	*len = 0;
+	if (framing_is_ambiguous(ri))
+		return -EBADMSG;
 	if (content_length >= 0 && (unsigned long long)content_length > max_bytes)
 		return -EMSGSIZE;
 	buf = malloc(cap + 1);
@@ -127,6 +142,11 @@
 			buf = grown;
 		}
 		n = mg_read(conn, buf + used, cap - used);
+		if (n < 0 && mg_get_header(conn, "Transfer-Encoding")) {
+			/* A chunk is malformed, or the last one is missing. */
+			free(buf);
+			return -EBADMSG;
+		}
 		if (n <= 0)
 			break;
 		used += (size_t)n;
@@ -141,6 +161,16 @@
 	return 0;
 }
 
+int http_server_read_body(struct mg_connection *conn, size_t max_bytes, char **body, size_t *len)
+{
+	int ret = read_body(conn, max_bytes, body, len);
+
+	/* What is left of the body would be taken for the next request. */
+	if (ret)
+		mg_disable_keep_alive(conn);
+	return ret;
+}
+
 int http_server_reply(struct mg_connection *conn, const struct http_reply *reply)
 {
 	char *buf = malloc(REPLY_HEAD_BYTES + reply->body_len);
