Take the event of a deletion as a deletion

The platform's watch reports a deletion as type delete with an empty value. Ruled out: briarreelctl and the stand-in, which deleted the key.

--- a/node/platform.c
+++ b/node/platform.c
@@ -144,6 +144,13 @@
 	return PLATFORM_UNAVAILABLE;
 }
 
+static bool is_deletion(struct json_object *item)
+{
+	const char *type = json_object_get_string(json_object_object_get(item, "type"));
+
+	return type && !strcmp(type, "delete");
+}
+
 static int parse_entries(struct json_object *root, const char *list, struct platform_result *res)
 {
 	struct json_object *array;
@@ -161,7 +168,8 @@
 		struct platform_entry *e = &res->entries[res->n_entries++];
 
 		e->key = json_text_copy(item, "key");
-		e->value = json_text_copy(item, "value");
+		/* The event of a deletion has an empty value. */
+		e->value = is_deletion(item) ? NULL : json_text_copy(item, "value");
 		e->mod_rev = json_u64(item, "mod_rev");
 		if (!e->key || !e->mod_rev)
 			return -EBADMSG;
