--- a/node/caller.c
+++ b/node/caller.c
@@ -13,6 +13,7 @@
 #include "node/rates.h"
 
 #include <civetweb.h>
+#include <ctype.h>
 #include <errno.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -131,6 +132,43 @@
 	return BR_REASON_NONE;
 }
 
+/* Number of the two hexadecimal digits at text, or -1. */
+static int hex_byte(const char *text)
+{
+	char digits[3] = {text[0], text[1], '\0'};
+
+	if (!isxdigit((unsigned char)text[0]) || !isxdigit((unsigned char)text[1]))
+		return -1;
+	return (int)strtol(digits, NULL, 16);
+}
+
+/* Keys with characters such as / are percent-encoded in queries and forms. */
+static bool contains_encoded_key(const char *data, size_t len, const char *key)
+{
+	char *decoded = malloc(len + 1);
+	size_t n = 0;
+	bool found;
+
+	if (!decoded)
+		abort();
+	for (size_t i = 0; i < len; i++) {
+		int byte = data[i] == '%' && i + 2 < len ? hex_byte(data + i + 1) : -1;
+
+		decoded[n++] = byte < 0 ? data[i] : (char)byte;
+		i += byte < 0 ? 0 : 2;
+	}
+	found = memmem(decoded, n, key, strlen(key)) != NULL;
+	free(decoded);
+	return found;
+}
+
+static bool contains_key(const char *data, size_t len, const char *key)
+{
+	if (memmem(data, len, key, strlen(key)))
+		return true;
+	return memchr(data, '%', len) && contains_encoded_key(data, len, key);
+}
+
 static enum br_reason read_body(struct caller_request *r)
 {
 	struct call *c = &r->call;
@@ -142,8 +180,10 @@
 	if (ret)
 		return BR_REASON_MALFORMED;
 	c->body = r->body;
+	/* Targets are told the request id too. */
 	if (r->key &&
-	    (strstr(r->target, r->key) || memmem(c->body, c->body_len, r->key, strlen(r->key))))
+	    (strstr(c->request_id, r->key) || contains_key(r->target, strlen(r->target), r->key) ||
+	     contains_key(c->body, c->body_len, r->key)))
 		return BR_REASON_KEY_IN_REQUEST;
 	c->method = mg_get_request_info(r->conn)->request_method;
 	c->target = r->target;
