--- a/node/control.c
+++ b/node/control.c
@@ -473,15 +473,28 @@
 	return atomic_load(&ctl->left);
 }
 
+/* Number of slots whose holder this node knows. */
+static uint32_t slots_known(struct control *ctl)
+{
+	uint32_t n_slots = blackboard_n_slots(ctl->node->board);
+	struct br_slot_holder holder;
+	uint32_t n = 0;
+
+	for (uint32_t slot = 0; slot < n_slots; slot++)
+		n += blackboard_slot_holder(ctl->node->board, slot, &holder);
+	return n;
+}
+
 size_t control_format_counters(struct control *ctl, char *buf, size_t bytes)
 {
 	uint64_t age_us = blackboard_freshness_age_us(ctl->node->board, clock_now_us());
 	int n = snprintf(buf, bytes,
 			 "briarreel_config_watermark %llu\nbriarreel_members_alive %llu\n"
-			 "briarreel_slots_held %llu\nbriarreel_freshness_age_ms %lld\n",
+			 "briarreel_slots_held %llu\nbriarreel_slots_known %u\n"
+			 "briarreel_freshness_age_ms %lld\n",
 			 (unsigned long long)atomic_load(&ctl->watermark),
 			 (unsigned long long)atomic_load(&ctl->members_alive),
-			 (unsigned long long)atomic_load(&ctl->slots_held),
+			 (unsigned long long)atomic_load(&ctl->slots_held), slots_known(ctl),
 			 age_us == UINT64_MAX ? -1LL : (long long)(age_us / BR_US_PER_MS));
 
 	return n < 0 || (size_t)n >= bytes ? 0 : (size_t)n;
