Accept the draining flag of an announcement

Cause: a draining target goes on to announce itself with a flag that the node refused as an unknown key, with a warning each second. Change: the flag is read and marks the target as draining.

--- a/node/local.c
+++ b/node/local.c
@@ -30,6 +30,7 @@
 	char address[BR_NODE_ID_BYTES];
 	uint32_t slots;
 	uint32_t connections;
+	bool draining;
 };
 
 static const struct settings_key announcement_keys[] = {
@@ -40,6 +41,7 @@
 	{"slots", SETTINGS_U32, offsetof(struct announcement, slots), 1, 65535, 0, false},
 	{"connections", SETTINGS_U32, offsetof(struct announcement, connections), 1, 65535, 0,
 	 false},
+	{"draining", SETTINGS_BOOL, offsetof(struct announcement, draining), 0, 0, 0, false},
 };
 
 static void handle_announce(struct node *node, struct mg_connection *conn)
@@ -57,6 +59,8 @@
 	} else {
 		blackboard_target_announced(node->board, a.service, a.address, a.slots,
 					    clock_now_us());
+		if (a.draining)
+			blackboard_target_draining(node->board);
 		http_server_reply_text(conn, 200, "ok\n");
 	}
 	free(body);
