Resolve a merge left in two files

Cause: the last merge was committed with conflict markers. Change: both sides' changes are kept; a deletion is known by its type.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -163,7 +163,6 @@
 	return 0;
 }
 
-<<<<<<< HEAD
 /*
  * Closing a socket with unread data resets the connection, which can destroy the reply on its way.
  * CivetWeb reads the rest of a body only on connections that stay open.
@@ -178,7 +177,8 @@
 		n = mg_read(conn, chunk, sizeof(chunk));
 		total += n > 0 ? (size_t)n : 0;
 	} while (n > 0 && total < DISCARD_MAX_BYTES);
-=======
+}
+
 int http_server_read_body(struct mg_connection *conn, size_t max_bytes, char **body, size_t *len)
 {
 	int ret = read_body(conn, max_bytes, body, len);
@@ -187,7 +187,6 @@
 	if (ret)
 		mg_disable_keep_alive(conn);
 	return ret;
->>>>>>> faults
 }
 
 int http_server_reply(struct mg_connection *conn, const struct http_reply *reply)
--- a/node/platform.c
+++ b/node/platform.c
@@ -144,7 +144,6 @@
 	return PLATFORM_UNAVAILABLE;
 }
 
-<<<<<<< HEAD
 /* The value of a deletion may be absent or empty; its type tells. */
 static bool is_deletion(struct json_object *item)
 {
@@ -152,13 +151,6 @@
 
 	return json_object_object_get_ex(item, "type", &type) &&
 	       !strcmp(json_object_get_string(type), "delete");
-=======
-static bool is_deletion(struct json_object *item)
-{
-	const char *type = json_object_get_string(json_object_object_get(item, "type"));
-
-	return type && !strcmp(type, "delete");
->>>>>>> faults
 }
 
 static int parse_entries(struct json_object *root, const char *list, struct platform_result *res)
@@ -178,13 +170,8 @@
 		struct platform_entry *e = &res->entries[res->n_entries++];
 
 		e->key = json_text_copy(item, "key");
-<<<<<<< HEAD
 		if (!is_deletion(item))
 			e->value = json_text_copy(item, "value");
-=======
-		/* The event of a deletion has an empty value. */
-		e->value = is_deletion(item) ? NULL : json_text_copy(item, "value");
->>>>>>> faults
 		e->mod_rev = json_u64(item, "mod_rev");
 		if (!e->key || !e->mod_rev)
 			return -EBADMSG;
