Delay parts of a rate that grow; pass paths on undecoded

Cause: (1) a change of an account's burst moves it to other slots, and while holders see it at different times the sum of their parts exceeded both the old and the new rate. (2) CivetWeb decoded the path before it was passed on, so %20 broke the request line to the next hop and %0d%0a could add headers. Change: module entitlement; URL decoding is off in the listeners.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Entry points; the build itself is CMake's.
-PACKAGES = cmake ninja-build pkg-config libcivetweb-dev libnng-dev libpopt-dev libjson-c-dev \
+PACKAGES = gcc cmake ninja-build pkg-config curl libcivetweb-dev libnng-dev libpopt-dev libjson-c-dev \
 	libmsgpack-dev libsodium-dev libcriterion-dev
 SOURCES = $(shell git ls-files '*.c' '*.h')
 JOBS ?= 8
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -59,6 +59,8 @@
 				 keep_alive,
 				 "tcp_nodelay",
 				 "1",
+				 "decode_url",
+				 "no",
 				 "connection_queue",
 				 "1024",
 				 "listen_backlog",
--- a/node/lease_control.c
+++ b/node/lease_control.c
@@ -1,5 +1,6 @@
 #include "node/lease_control.h"
 
+#include "briarreel/entitlement.h"
 #include "briarreel/grantor.h"
 #include "briarreel/view.h"
 #include "common/clock.h"
@@ -20,11 +21,24 @@
 /* NTP keeps the clock rates of VMs within 500 ppm of each other. */
 #define CLOCK_RATE_MARGIN_PPM 500
 
+/* A change of configuration is in force on every node within this time. */
+#define CHANGE_SPREAD_US (4 * BR_US_PER_S)
+
+/** An account that this node may grant from. */
+struct account_entry {
+	char name[BR_NAME_BYTES];
+	struct br_entitlement *entitlement;
+	struct account_entry *next;
+};
+
 struct lease_control {
 	struct control *ctl;
 	struct br_grantor *grantor;
 	uint64_t term_us;
 	uint64_t tick_us;
+	/** Time at which the next account settles; 0 if none is waiting. */
+	uint64_t next_settled_us;
+	struct account_entry *accounts;
 };
 
 /** Requests to one holder that wait for its answer. */
@@ -49,24 +63,58 @@
 		return;
 	if (lc->grantor)
 		br_grantor_destroy(lc->grantor);
+	while (lc->accounts) {
+		struct account_entry *a = lc->accounts;
+
+		lc->accounts = a->next;
+		br_entitlement_destroy(a->entitlement);
+		free(a);
+	}
 	free(lc);
 }
 
+static struct br_entitlement *find_entitlement(struct lease_control *lc,
+					       const struct br_record *rec, uint64_t now_us)
+{
+	struct br_entitlement_limits limits = {.rate_mtok_s = rec->account.rate_mtok_s,
+					       .burst = rec->account.burst};
+	struct account_entry *a;
+
+	for (a = lc->accounts; a; a = a->next)
+		if (!strcmp(a->name, rec->name))
+			break;
+	if (!a) {
+		a = calloc(1, sizeof(*a));
+		if (!a)
+			abort();
+		br_copy_text(a->name, sizeof(a->name), rec->name);
+		a->entitlement =
+			br_entitlement_create(rec->name, &limits, CHANGE_SPREAD_US + lc->term_us);
+		if (!a->entitlement)
+			abort();
+		a->next = lc->accounts;
+		lc->accounts = a;
+	}
+	br_entitlement_update(a->entitlement, &limits, now_us);
+	return a->entitlement;
+}
+
 static void set_entitlement(struct lease_control *lc, const struct br_record *rec, uint64_t now_us)
 {
 	struct br_slots *slots = slot_control_slots(control_slots(lc->ctl));
 	uint32_t n_slots = slot_control_count(control_slots(lc->ctl));
-	uint64_t burst_ntok = rec->account.burst * BR_NTOK_PER_TOKEN;
+	struct br_entitlement *e = find_entitlement(lc, rec, now_us);
+	uint64_t settled_us = br_entitlement_settled_us(e);
 	struct br_slot_part sum = {0};
-	struct br_slot_set set;
 
-	br_slots_of_account(rec->name, rec->account.burst, n_slots, &set);
+	if (now_us < settled_us && (!lc->next_settled_us || settled_us < lc->next_settled_us))
+		lc->next_settled_us = settled_us;
 	for (uint32_t i = 0; i < n_slots; i++) {
 		struct br_slot_part part;
 
 		if (!br_slots_may_grant(slots, i, now_us))
 			continue;
-		part = br_slot_part_of(&set, i, rec->account.rate_mtok_s, burst_ntok);
+		part = br_entitlement_part(e, i, n_slots, now_us);
 		sum.rate_mtok_s += part.rate_mtok_s;
 		sum.burst_ntok += part.burst_ntok;
 	}
@@ -80,6 +128,7 @@
 		.lease_term_us = (uint64_t)br_view_mesh(view)->lease_term_ms * BR_US_PER_MS,
 		.rate_margin_ppm = CLOCK_RATE_MARGIN_PPM};
 
+	lc->term_us = cfg.lease_term_us;
 	if (!lc->grantor && slot_control_slots(control_slots(lc->ctl)))
 		lc->grantor = br_grantor_create(&cfg);
 	return lc->grantor != NULL;
@@ -91,6 +140,7 @@
 	const struct br_record *const *recs;
 	size_t n;
 
+	lc->next_settled_us = 0;
 	if (view && ensure_grantor(lc, view)) {
 		recs = br_view_records(view, BR_RECORD_ACCOUNT, &n);
 		for (size_t i = 0; i < n; i++)
@@ -174,7 +224,11 @@
 {
 	static struct rates_request reqs[MAX_REQUESTS];
 	struct node *node = control_node(lc->ctl);
-	size_t n = rates_collect(node->rates, now_us, reqs, MAX_REQUESTS);
+	size_t n;
+
+	if (lc->next_settled_us && now_us >= lc->next_settled_us)
+		lease_control_refresh(lc, now_us);
+	n = rates_collect(node->rates, now_us, reqs, MAX_REQUESTS);
 
 	for (size_t i = 0; i < n; i++) {
 		struct batch *b;
--- /dev/null
+++ b/tests/unit/entitlement.c
@@ -0,0 +1,80 @@
+#include "briarreel/entitlement.h"
+
+#include <criterion/criterion.h>
+
+#define SLOTS 24
+#define DELAY_US (8 * BR_US_PER_S)
+
+static struct br_slot_part sum_of(const struct br_entitlement *const *holders, uint64_t now_us)
+{
+	struct br_slot_part sum = {0};
+
+	/* Holder i has the slots i, i + 3, i + 6 and so on. */
+	for (uint32_t slot = 0; slot < SLOTS; slot++) {
+		struct br_slot_part part =
+			br_entitlement_part(holders[slot % 3], slot, SLOTS, now_us);
+
+		sum.rate_mtok_s += part.rate_mtok_s;
+		sum.burst_ntok += part.burst_ntok;
+	}
+	return sum;
+}
+
+/*
+ * A burst that shrinks moves the account from 24 slots to 5. Without the delay, a holder that has
+ * seen the change grants its larger parts while the others still grant their former ones.
+ */
+Test(entitlement, holders_never_exceed_the_limits_during_a_change)
+{
+	static const struct {
+		struct br_entitlement_limits before;
+		struct br_entitlement_limits after;
+	} cases[] = {
+		{{1000000, 100}, {1000000, 10}},
+		{{1000000, 10}, {1000000, 100}},
+		{{1000000, 100}, {500000, 100}},
+		{{500000, 4}, {1000000, 2}},
+	};
+
+	for (size_t c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		const struct br_entitlement_limits *b = &cases[c].before;
+		const struct br_entitlement_limits *a = &cases[c].after;
+		uint64_t rate_max =
+			b->rate_mtok_s > a->rate_mtok_s ? b->rate_mtok_s : a->rate_mtok_s;
+		uint64_t burst_max =
+			(b->burst > a->burst ? b->burst : a->burst) * BR_NTOK_PER_TOKEN;
+		struct br_entitlement *h[3];
+
+		for (int i = 0; i < 3; i++)
+			h[i] = br_entitlement_create("acct", b, DELAY_US);
+		for (uint64_t ms = 0; ms < 20000; ms += 100) {
+			struct br_slot_part sum;
+
+			/* The holders see the change 0, 2 and 4 s after it was made. */
+			for (uint64_t i = 0; i < 3; i++)
+				if (ms >= 1000 + i * 2000)
+					br_entitlement_update(h[i], a, ms * BR_US_PER_MS);
+			sum = sum_of((const struct br_entitlement *const *)h, ms * BR_US_PER_MS);
+			cr_assert_leq(sum.rate_mtok_s, rate_max, "case %zu at %lu ms", c, ms);
+			cr_assert_leq(sum.burst_ntok, burst_max, "case %zu at %lu ms", c, ms);
+			if (ms > 14000) {
+				cr_assert_eq(sum.rate_mtok_s, a->rate_mtok_s);
+				cr_assert_eq(sum.burst_ntok, a->burst * BR_NTOK_PER_TOKEN);
+			}
+		}
+		for (int i = 0; i < 3; i++)
+			br_entitlement_destroy(h[i]);
+	}
+}
+
+Test(entitlement, shrinks_at_once)
+{
+	struct br_entitlement_limits limits = {.rate_mtok_s = 24000, .burst = 48};
+	struct br_entitlement *e = br_entitlement_create("acct", &limits, DELAY_US);
+
+	cr_assert_eq(br_entitlement_part(e, 0, SLOTS, 0).rate_mtok_s, 1000);
+	limits.rate_mtok_s = 12000;
+	br_entitlement_update(e, &limits, 10);
+	cr_assert_eq(br_entitlement_part(e, 0, SLOTS, 10).rate_mtok_s, 500);
+	br_entitlement_destroy(e);
+}
--- a/tests/unit/http_server.c
+++ b/tests/unit/http_server.c
@@ -4,6 +4,7 @@
 #include "common/http_client.h"
 
 #include <arpa/inet.h>
+#include <civetweb.h>
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -98,3 +99,38 @@
 	}
 	http_server_destroy(srv);
 }
+
+static void echo_path(struct mg_connection *conn, void *user_data)
+{
+	(void)user_data;
+	http_server_reply_text(conn, 200, mg_get_request_info(conn)->request_uri);
+}
+
+/*
+ * A path is passed on as it came. Once decoded, "%20" would break the request line to the next
+ * hop, and "%0d%0a" would add headers to it.
+ */
+Test(http_server, path_is_not_decoded)
+{
+	struct br_error err = {0};
+	struct http_server *srv = http_server_create(
+		&(struct http_server_config){
+			.listen = "127.0.0.1:0", .workers = 4, .keep_alive_ms = 5000},
+		echo_path, NULL, &err);
+	struct http_pool *pool =
+		http_pool_create(&(struct http_pool_config){.max_idle_per_peer = 1,
+							    .max_idle_ms = 1000,
+							    .connect_timeout_ms = 5000,
+							    .max_body_bytes = 1000});
+	struct http_request req = {.method = "GET", .target = "/a%20b%2fc%0d%0aX-Header:%201"};
+	struct http_response resp;
+	char peer[32];
+
+	cr_assert(srv && pool, "%s", err.detail);
+	snprintf(peer, sizeof(peer), "127.0.0.1:%d", http_server_port(srv));
+	cr_assert_eq(http_pool_exchange(pool, peer, &req, 5000, &resp, &err), 0, "%s", err.detail);
+	cr_assert_str_eq(resp.body, req.target);
+	http_response_free(&resp);
+	http_pool_destroy(pool);
+	http_server_destroy(srv);
+}
