--- a/tests/random/rates.c
+++ b/tests/random/rates.c
@@ -351,15 +351,8 @@
 		res.value = k->present ? k->value : NULL;
 		res.value_len = strlen(k->value);
 	}
-<<<<<<< HEAD
-	for (uint32_t i = 0; e->keys && e->op->kind == BR_SLOT_OP_LIST &&
-			     res.status == BR_SLOT_OK && i < s->n_slots;
-	     i++) {
-		if (e->keys[i].present)
-=======
 	for (uint32_t i = 0; e->op->kind == BR_SLOT_OP_LIST && i < s->n_slots; i++) {
 		if (e->status == BR_SLOT_OK && e->keys && e->keys[i].present)
->>>>>>> rates
 			br_slots_observe(n->slots, i, e->keys[i].value, strlen(e->keys[i].value),
 					 e->keys[i].rev, local(s, n));
 	}
