Check the sums of leases and reserves in the seeded run

Cause: the reference bucket hides an excess while the fleet uses less than its rate, so broken rules showed in few seeds. Change: at each tick the leases in force and the reserves must be within rate and burst in true time; a unit test for returns without burst.

--- a/tests/random/rates.c
+++ b/tests/random/rates.c
@@ -174,68 +174,6 @@
 	push(s, make_ev(s, EV_TICK, i), s->now_us + rnd(s, 50 * MS));
 }
 
-static void split_rates(struct sim *s, struct version *v)
-{
-	for (int a = 0; a < ACCOUNTS; a++)
-		br_slots_of_account(account_names[a], v->rate[a].burst_tokens, s->n_slots,
-				    &v->slots[a]);
-}
-
-/*
- * The rate that the fleet may use now. While nodes use several versions it is their maximum, or
- * their sum if the split over slots differs, because then the parts are not comparable.
- */
-static struct rate allowed(const struct sim *s, int a)
-{
-	struct rate out = {0};
-	uint32_t slots = 0;
-
-	for (int v = 0; v < s->n_versions; v++) {
-		const struct rate *r = &s->versions[v].rate[a];
-		uint32_t count = br_slot_set_count(&s->versions[v].slots[a]);
-
-		if (v < s->n_versions - 1 && s->now_us > s->versions[v].used_us + TERM_US * 11 / 10)
-			continue;
-		if (slots && slots != count) {
-			out.rate_mtok_s += r->rate_mtok_s;
-			out.burst_tokens += r->burst_tokens;
-			continue;
-		}
-		slots = count;
-		if (r->rate_mtok_s > out.rate_mtok_s)
-			out.rate_mtok_s = r->rate_mtok_s;
-		if (r->burst_tokens > out.burst_tokens)
-			out.burst_tokens = r->burst_tokens;
-	}
-	return out;
-}
-
-/* Adds what the reference mints up to now, then takes over a changed rate. */
-static void update_reference(struct sim *s)
-{
-	for (int v = 0; v < s->n_versions - 1; v++) {
-		for (int i = 0; i < s->n_nodes; i++) {
-			if (s->nodes[i].alive && s->nodes[i].version <= v)
-				s->versions[v].used_us = s->now_us;
-		}
-	}
-	for (int a = 0; a < ACCOUNTS; a++) {
-		struct reference *r = &s->ref[a];
-		struct rate now = allowed(s, a);
-		uint64_t cap = r->rate.burst_tokens * BR_NTOK_PER_TOKEN;
-
-		r->tokens += br_mint_ntok(r->rate.rate_mtok_s, s->now_us - r->at_us,
-					  cap > r->tokens ? cap - r->tokens : 0);
-		r->at_us = s->now_us;
-		/* A larger burst may be full already: parts of both versions can be in use. */
-		if (now.burst_tokens > r->rate.burst_tokens)
-			r->tokens += (now.burst_tokens - r->rate.burst_tokens) * BR_NTOK_PER_TOKEN;
-		r->rate = now;
-		cap = now.burst_tokens * BR_NTOK_PER_TOKEN;
-		r->tokens = r->tokens < cap ? r->tokens : cap;
-	}
-}
-
 static void admit(struct sim *s, int i, int a)
 {
 	struct reference *r = &s->ref[a];
@@ -306,6 +244,57 @@
 		try_take(s, i, e->account, true, s->now_us + WAIT_US);
 }
 
+/* What a holder can still hand out by itself. A holder without the right can hand out nothing. */
+static void add_reserve(struct sim *s, struct node *n, int a, struct br_bucket_stats *sum)
+{
+	struct br_grantor_stats st;
+	bool right = false;
+
+	for (uint32_t k = 0; k < s->n_slots; k++)
+		right |= br_slots_may_grant(n->slots, k, local(s, n));
+	if (!right || !br_grantor_stats(n->grantor, account_names[a], local(s, n), &st))
+		return;
+	if (st.rate_mtok_s > st.leased_rate_mtok_s)
+		sum->rate_mtok_s += st.rate_mtok_s - st.leased_rate_mtok_s;
+	if (st.burst_ntok > st.leased_burst_ntok)
+		sum->burst_ntok += st.burst_ntok - st.leased_burst_ntok;
+	sum->tokens_ntok += st.reserve_ntok;
+}
+
+/*
+ * The leases in force and the reserves are within rate and burst at every moment of true time.
+ * This shows a fault that the reference bucket hides while the fleet uses less than its rate.
+ */
+static void check_sums(struct sim *s)
+{
+	update_reference(s);
+	for (int a = 0; a < ACCOUNTS; a++) {
+		struct br_bucket_stats sum = {0};
+		uint64_t burst = s->ref[a].rate.burst_tokens * BR_NTOK_PER_TOKEN;
+
+		for (int i = 0; i < s->n_nodes; i++) {
+			struct node *n = &s->nodes[i];
+			struct br_bucket_stats st;
+
+			if (!n->alive)
+				continue;
+			br_bucket_stats(n->buckets[a], local(s, n), &st);
+			sum.rate_mtok_s += st.rate_mtok_s;
+			sum.burst_ntok += st.burst_ntok;
+			sum.tokens_ntok += st.tokens_ntok;
+			add_reserve(s, n, a, &sum);
+		}
+		if (sum.rate_mtok_s <= s->ref[a].rate.rate_mtok_s && sum.burst_ntok <= burst &&
+		    sum.tokens_ntok <= burst)
+			continue;
+		snprintf(s->failure, sizeof(s->failure),
+			 "account %s at %.6f s: rate %lu of %lu, burst %.3f, tokens %.3f of %.3f",
+			 account_names[a], (double)s->now_us / SEC, (unsigned long)sum.rate_mtok_s,
+			 (unsigned long)s->ref[a].rate.rate_mtok_s, (double)sum.burst_ntok / 1e9,
+			 (double)sum.tokens_ntok / 1e9, (double)burst / 1e9);
+	}
+}
+
 static void on_tick(struct sim *s, int i)
 {
 	struct node *n = &s->nodes[i];
@@ -318,6 +307,7 @@
 		ask_holders(s, i, a);
 	}
 	gossip(s, i);
+	check_sums(s);
 	push(s, make_ev(s, EV_TICK, i), s->now_us + 50 * MS);
 	if (n->stopping && (br_slots_released(n->slots) || s->now_us > n->stop_us + 8 * SEC)) {
 		stop_node(n);
--- a/tests/random/rates_sim.h
+++ b/tests/random/rates_sim.h
@@ -353,4 +353,66 @@
 	}
 }
 
+static void split_rates(struct sim *s, struct version *v)
+{
+	for (int a = 0; a < ACCOUNTS; a++)
+		br_slots_of_account(account_names[a], v->rate[a].burst_tokens, s->n_slots,
+				    &v->slots[a]);
+}
+
+/*
+ * The rate that the fleet may use now. While nodes use several versions it is their maximum, or
+ * their sum if the split over slots differs, because then the parts are not comparable.
+ */
+static struct rate allowed(const struct sim *s, int a)
+{
+	struct rate out = {0};
+	uint32_t slots = 0;
+
+	for (int v = 0; v < s->n_versions; v++) {
+		const struct rate *r = &s->versions[v].rate[a];
+		uint32_t count = br_slot_set_count(&s->versions[v].slots[a]);
+
+		if (v < s->n_versions - 1 && s->now_us > s->versions[v].used_us + TERM_US * 11 / 10)
+			continue;
+		if (slots && slots != count) {
+			out.rate_mtok_s += r->rate_mtok_s;
+			out.burst_tokens += r->burst_tokens;
+			continue;
+		}
+		slots = count;
+		if (r->rate_mtok_s > out.rate_mtok_s)
+			out.rate_mtok_s = r->rate_mtok_s;
+		if (r->burst_tokens > out.burst_tokens)
+			out.burst_tokens = r->burst_tokens;
+	}
+	return out;
+}
+
+/* Adds what the reference mints up to now, then takes over a changed rate. */
+static void update_reference(struct sim *s)
+{
+	for (int v = 0; v < s->n_versions - 1; v++) {
+		for (int i = 0; i < s->n_nodes; i++) {
+			if (s->nodes[i].alive && s->nodes[i].version <= v)
+				s->versions[v].used_us = s->now_us;
+		}
+	}
+	for (int a = 0; a < ACCOUNTS; a++) {
+		struct reference *r = &s->ref[a];
+		struct rate now = allowed(s, a);
+		uint64_t cap = r->rate.burst_tokens * BR_NTOK_PER_TOKEN;
+
+		r->tokens += br_mint_ntok(r->rate.rate_mtok_s, s->now_us - r->at_us,
+					  cap > r->tokens ? cap - r->tokens : 0);
+		r->at_us = s->now_us;
+		/* A larger burst may be full already: parts of both versions can be in use. */
+		if (now.burst_tokens > r->rate.burst_tokens)
+			r->tokens += (now.burst_tokens - r->rate.burst_tokens) * BR_NTOK_PER_TOKEN;
+		r->rate = now;
+		cap = now.burst_tokens * BR_NTOK_PER_TOKEN;
+		r->tokens = r->tokens < cap ? r->tokens : cap;
+	}
+}
+
 #endif
--- a/tests/unit/grantor.c
+++ b/tests/unit/grantor.c
@@ -87,6 +87,23 @@
 	br_grantor_destroy(g);
 }
 
+/* Tokens returned without the burst they filled would exist twice. */
+Test(grantor, credits_returns_only_with_burst)
+{
+	struct br_grantor *g = make(10000, 20, 0);
+	struct br_lease_req req = request(1, 1, 5000, 8);
+	struct br_lease_rep rep = ask(g, &req, SEC);
+
+	cr_assert_eq(stats_of(g, SEC).reserve_ntok, 2 * TOKEN);
+	req = request(1, 2, 5000, 8);
+	req.keep_rate_mtok_s = rep.rate_mtok_s;
+	req.keep_burst_ntok = rep.burst_ntok;
+	req.returned_ntok = 5 * TOKEN;
+	ask(g, &req, SEC);
+	cr_assert_eq(stats_of(g, SEC).reserve_ntok, 2 * TOKEN);
+	br_grantor_destroy(g);
+}
+
 /* Old, doubled and misdirected requests must change nothing. */
 Test(grantor, ignores_stale_requests)
 {
