Read the rest of an oversized body before the refusal

Change: an oversized body is read to its end, up to the limit, and the connection stays open; a malformed body still closes it. The default queue is 256, so that running and queued requests stay below the peer workers.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -168,8 +168,9 @@
 /*
  * Closing a socket with unread data resets the connection, which can destroy the reply on its way.
  * CivetWeb reads the rest of a body only on connections that stay open.
+ * Returns true if nothing is left.
  */
-static void discard_body(struct mg_connection *conn)
+static bool discard_body(struct mg_connection *conn)
 {
 	char chunk[4096];
 	size_t total = 0;
@@ -179,6 +180,7 @@
 		n = mg_read(conn, chunk, sizeof(chunk));
 		total += n > 0 ? (size_t)n : 0;
 	} while (n > 0 && total < DISCARD_MAX_BYTES);
+	return n == 0;
 }
 
 int http_server_read_body(struct mg_connection *conn, size_t max_bytes, char **body, size_t *len)
@@ -186,7 +188,7 @@
 	int ret = read_body(conn, max_bytes, body, len);
 
 	/* What is left of the body would be taken for the next request. */
-	if (ret)
+	if (ret == -EBADMSG || (ret && !discard_body(conn)))
 		mg_disable_keep_alive(conn);
 	return ret;
 }
--- a/node/node_settings.c
+++ b/node/node_settings.c
@@ -29,7 +29,11 @@
 	ADDRESS(platform_address, true),
 	{"seeds", SETTINGS_ADDRESSES, FIELD(seeds), 0, 0, 0, false},
 	TEXT(mesh_token, true),
-	/* Each kept-alive connection occupies one worker; 550 connections is the largest target. */
+	/*
+	 * Each kept-alive connection occupies one worker; 550 connections is the largest target.
+	 * Peer workers must exceed the requests running and queued at the target (queue_max plus
+	 * twice its slots), so that requests wait in the admission queue and not unseen for a worker.
+	 */
 	NUMBER(caller_workers, 4, 2000, 600),
 	NUMBER(peer_workers, 4, 2000, 600),
 	NUMBER(local_workers, 4, 2000, 200),
@@ -42,7 +46,7 @@
 	NUMBER(connect_timeout_ms, 10, 5000, 300),
 	NUMBER(stop_timeout_s, 1, 300, 30),
 	NUMBER(warmup_ms, 0, 600000, 5000),
-	NUMBER(queue_max, 1, 100000, 512),
+	NUMBER(queue_max, 1, 100000, 256),
 	NUMBER(log_level, 3, 7, 6),
 };
 
