--- a/tests/random/once.c
+++ b/tests/random/once.c
@@ -663,7 +663,8 @@
 {
 	const char *one = getenv("BR_SEED");
 	const char *duration = getenv("BR_DURATION_S");
-	uint64_t first = one ? strtoull(one, NULL, 10) : 1;
+	const char *from = getenv("BR_FIRST_SEED");
+	uint64_t first = one ? strtoull(one, NULL, 10) : from ? strtoull(from, NULL, 10) : 1;
 	uint64_t fixed = one ? 1 : FIXED_SEEDS;
 	time_t end = time(NULL) + (duration ? atol(duration) : 0);
 	struct stats sum = {0};
--- a/tests/random/overload.c
+++ b/tests/random/overload.c
@@ -618,7 +618,8 @@
 {
 	const char *one = getenv("BR_SEED"), *duration = getenv("BR_DURATION_S");
 	time_t end = time(NULL) + (duration ? atol(duration) : 0);
-	uint64_t seed = one ? strtoull(one, NULL, 0) : 1;
+	const char *from = getenv("BR_FIRST_SEED");
+	uint64_t seed = one ? strtoull(one, NULL, 0) : from ? strtoull(from, NULL, 0) : 1;
 
 	if (one) {
 		run_seed(seed);
--- a/tests/random/rates.c
+++ b/tests/random/rates.c
@@ -634,8 +634,9 @@
 	const char *one = getenv("BR_SEED");
 	const char *duration = getenv("BR_DURATION_S");
 	time_t end = time(NULL) + (duration ? atol(duration) : 0);
+	const char *from = getenv("BR_FIRST_SEED");
+	uint64_t seed = from ? strtoull(from, NULL, 10) : 1;
 	uint64_t failed = 0;
-	uint64_t seed = 1;
 
 	if (one) {
 		cr_assert(run_seed(strtoull(one, NULL, 10), faults));
--- a/tests/random/state.c
+++ b/tests/random/state.c
@@ -295,7 +295,8 @@
 {
 	const char *only = getenv("BR_SEED");
 	const char *duration = getenv("BR_DURATION_S");
-	uint64_t first = only ? strtoull(only, NULL, 10) : 1;
+	const char *from = getenv("BR_FIRST_SEED");
+	uint64_t first = only ? strtoull(only, NULL, 10) : from ? strtoull(from, NULL, 10) : 1;
 	uint64_t fixed = only ? 1 : FIXED_SEEDS;
 	time_t end = time(NULL) + (duration ? atoi(duration) : 0);
 
