Free the settings path

Cause: LeakSanitizer reported 31 bytes from popt at the end of each node. Change: the path is freed after the settings were read.

--- a/node/main.c
+++ b/node/main.c
@@ -34,7 +34,8 @@
 
 /** Command line. */
 struct options {
-	const char *settings;
+	/** Allocated by popt. */
+	char *settings;
 	int check;
 	int version;
 };
@@ -225,20 +226,22 @@
 	struct br_error err = {0};
 	int status;
 
-	if (!parse_options(argc, argv, &opts, &status))
+	if (!parse_options(argc, argv, &opts, &status)) {
+		free(opts.settings);
 		return status;
+	}
 	if (sodium_init() < 0) {
 		fprintf(stderr, "briarreeld: cannot initialise libsodium\n");
 		return 1;
 	}
-	if (node_settings_read(opts.settings, &settings, &err)) {
+	status = node_settings_read(opts.settings, &settings, &err) ? 1 : 0;
+	if (status)
 		fprintf(stderr, "briarreeld: %s\n", err.detail);
-		return 1;
-	}
-	if (opts.check) {
+	else if (opts.check)
 		printf("%s: ok\n", opts.settings);
-		return 0;
-	}
+	free(opts.settings);
+	if (status || opts.check)
+		return status;
 	log_init("briarreeld", (enum log_level)settings.log_level);
 	return run(&settings);
 }
