Refuse to change share_slots of a mesh

Cause: share_slots sets which part of each rate a slot stands for and which holder registers a request id. Nodes that read another number after a restart would count together with nodes that use the former one, and the command wrote such a record without a word.

--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -67,6 +67,56 @@
 	return EXIT_DONE;
 }
 
+static uint32_t share_slots_of(const char *json)
+{
+	struct br_record record;
+
+	if (!json || br_record_parse("mesh", "default", json, strlen(json), &record, NULL))
+		br_mesh_defaults(&record.mesh);
+	return record.mesh.share_slots;
+}
+
+static void count_record(const char *key, uint64_t mod_rev, const char *value, void *arg)
+{
+	(void)key;
+	(void)mod_rev;
+	(void)value;
+	(*(uint32_t *)arg)++;
+}
+
+/*
+ * Checks that a write of mesh/default (json, or NULL for a withdrawal) leaves share_slots as it is
+ * in force. Nodes that split the accounts' rates over another number of slots together grant more
+ * than each rate, and look for the registrar of a request id at different holders. *rev is the
+ * revision that was compared with.
+ */
+static int check_share_slots(const struct store *s, const char *json, uint64_t *rev)
+{
+	uint32_t wanted = share_slots_of(json);
+	struct br_error err = {0};
+	struct store_value now;
+	uint32_t accounts = 0;
+	uint32_t in_force;
+	bool exists;
+
+	if (store_get(s, "mesh", "default", &now, &err))
+		return unreachable(&err);
+	exists = now.value != NULL;
+	in_force = share_slots_of(now.value);
+	*rev = now.mod_rev;
+	free(now.value);
+	if (wanted == in_force)
+		return EXIT_DONE;
+	/* Without accounts there are no rates yet, so the number can be chosen. */
+	if (!exists && store_list(s, "account", count_record, &accounts, &err))
+		return unreachable(&err);
+	if (!exists && !accounts)
+		return EXIT_DONE;
+	log_err("mesh/default: share_slots: %" PRIu32 ": must stay %" PRIu32 ": %s", wanted,
+		in_force, exists ? "it cannot change in a mesh" : "there are accounts already");
+	return EXIT_INVALID;
+}
+
 /* Finds the revision that a write replaces. */
 static int choose_rev(const struct store *s, const struct write_options *opts, const char *kind,
 		      const char *name, uint64_t *rev)
@@ -109,6 +159,21 @@
 	return EXIT_UNKNOWN;
 }
 
+/* Checks share_slots and has the write replace the revision that it was compared with. */
+static int pin_mesh(const struct store *s, const char *json, struct write_options *opts)
+{
+	uint64_t rev;
+	int status = check_share_slots(s, json, &rev);
+
+	if (status)
+		return status;
+	if ((opts->has_rev && opts->rev != rev) || (opts->must_be_new && rev))
+		return report_write(STORE_CONFLICT, "mesh", "default", rev, false, NULL);
+	opts->has_rev = true;
+	opts->rev = rev;
+	return EXIT_DONE;
+}
+
 static void make_write_id(char out[STORE_WRITE_ID_BYTES])
 {
 	unsigned char bytes[(STORE_WRITE_ID_BYTES - 1) / 2];
@@ -121,17 +186,18 @@
 		     const char *name, const char *json)
 {
 	char write_id[STORE_WRITE_ID_BYTES];
+	struct write_options pinned = *opts;
 	struct br_error err = {0};
 	uint64_t rev;
 	char *value;
-	int status;
+	int status = EXIT_DONE;
 
-	if (!strcmp(kind, "key")) {
+	if (!strcmp(kind, "key"))
 		status = check_account(s, name, json);
-		if (status)
-			return status;
-	}
-	status = choose_rev(s, opts, kind, name, &rev);
+	else if (!strcmp(kind, "mesh"))
+		status = pin_mesh(s, json, &pinned);
+	if (!status)
+		status = choose_rev(s, &pinned, kind, name, &rev);
 	if (status)
 		return status;
 	make_write_id(write_id);
@@ -209,11 +275,16 @@
 int command_withdraw(const struct store *s, const struct write_options *opts, const char *kind,
 		     const char *name)
 {
+	struct write_options pinned = *opts;
 	struct br_error err = {0};
 	enum store_result res;
 	uint64_t rev;
-	int status = choose_rev(s, opts, kind, name, &rev);
+	int status = EXIT_DONE;
 
+	if (!strcmp(kind, "mesh") && !strcmp(name, "default"))
+		status = pin_mesh(s, NULL, &pinned);
+	if (!status)
+		status = choose_rev(s, &pinned, kind, name, &rev);
 	if (status)
 		return status;
 	if (!rev) {
