Read the zone's agent keys before taking one

Cause: a node that starts knows no members, so it found no agents and rank 0 for itself, and created a lease and tried a key that was taken: two platform writes for each start, 600 when a zone of 300 nodes restarts. The look at the candidates also passed over all members, hashing each twice, on each tick. Change: a candidate reads the zone's keys first and writes only if one is free; a node that knows nobody waits 2 s; the look takes place twice a second. A pass over 2,400 members takes 0.10 ms (bench_slopes), so 50 a second were 0.5% of a core.

--- a/node/agent.c
+++ b/node/agent.c
@@ -33,9 +33,15 @@
 #define RECONTACT_INTERVAL_US (30 * BR_US_PER_S)
 /* Candidates beyond this rank wait longer, so that few of them call the platform in an outage. */
 #define CLOSE_RANKS 8
+/* A look at the candidates passes over all members, which takes 0.1 ms at 2,400 of them. */
+#define SEEK_INTERVAL_US (500 * BR_US_PER_MS)
+/* A node that knows no other has no rank yet. */
+#define ALONE_WAIT_S 2
 
 enum agent_state {
 	AGENT_IDLE,
+	/** Waits for the list of the zone's agents. */
+	AGENT_READING,
 	AGENT_CLAIMING,
 	AGENT_HELD
 };
@@ -47,6 +53,7 @@
 	uint64_t lease_id;
 	bool renewing;
 	uint64_t renewed_us;
+	uint64_t seek_us;
 	/** Since when an agent of the zone is missing; 0 if none is. */
 	uint64_t missing_us;
 	uint64_t retry_us;
@@ -67,6 +74,8 @@
 		return NULL;
 	a->ctl = ctl;
 	a->snapshot_needed = true;
+	/* By then a node that is not the first one knows the others. */
+	a->seek_us = clock_now_us() + SEEK_INTERVAL_US;
 	return a;
 }
 
@@ -80,6 +89,17 @@
 	return control_node(a->ctl);
 }
 
+/* Prefix of the keys of the zone's agents; the agent's number follows. */
+static void zone_prefix(struct agent *a, char *out, size_t bytes)
+{
+	snprintf(out, bytes, AGENT_KEY_PREFIX "%s/", node_of(a)->settings->zone);
+}
+
+static bool is_alone(struct br_members *members)
+{
+	return br_members_count(members) == 1 + br_members_count_state(members, BR_MEMBER_DEAD);
+}
+
 /** Position of this node among the zone's candidates, and the agents that are there. */
 struct zone_count {
 	const struct br_member *self;
@@ -151,18 +171,49 @@
 	a->lease_id = res->lease_id;
 	br_copy_text(value, sizeof(value), node_of(a)->settings->control_address);
 	op.value = value;
-	snprintf(op.key, sizeof(op.key), AGENT_KEY_PREFIX "%s/%u", node_of(a)->settings->zone,
-		 a->number);
+	zone_prefix(a, op.key, sizeof(op.key));
+	snprintf(op.key + strlen(op.key), sizeof(op.key) - strlen(op.key), "%u", a->number);
 	control_platform(a->ctl, &op, take_key, a);
 }
 
+/* Picks a free key of the zone; creates no lease if there is none, since that is a write. */
+static void take_zone_list(struct control *ctl, void *arg, const struct platform_result *res,
+			   uint64_t now_us)
+{
+	struct agent *a = arg;
+	struct platform_op op = {.type = PLATFORM_LEASE_CREATE, .ttl_ms = LEASE_TTL_MS};
+	bool used[AGENTS_PER_ZONE] = {false};
+	char prefix[BR_NAME_BYTES + sizeof(AGENT_KEY_PREFIX)];
+	uint32_t n = 0;
+
+	zone_prefix(a, prefix, sizeof(prefix));
+	for (size_t i = 0; res->status == PLATFORM_OK && i < res->n_entries; i++) {
+		unsigned long number = strtoul(res->entries[i].key + strlen(prefix), NULL, 10);
+
+		if (number < AGENTS_PER_ZONE)
+			used[number] = true;
+	}
+	while (n < AGENTS_PER_ZONE && used[n])
+		n++;
+	if (res->status != PLATFORM_OK || n == AGENTS_PER_ZONE || a->resigned) {
+		become_idle(a, now_us);
+		return;
+	}
+	a->number = n;
+	a->state = AGENT_CLAIMING;
+	control_platform(ctl, &op, take_lease, a);
+}
+
 static void seek_role(struct agent *a, uint64_t now_us)
 {
 	struct br_members *members = gossip_members(control_gossip(a->ctl));
 	struct zone_count zc = {.self = br_members_self(members)};
-	struct platform_op op = {.type = PLATFORM_LEASE_CREATE, .ttl_ms = LEASE_TTL_MS};
+	struct platform_op op = {.type = PLATFORM_RANGE};
 	uint64_t wait_s;
 
+	if (now_us < a->seek_us)
+		return;
+	a->seek_us = now_us + SEEK_INTERVAL_US;
 	zc.own_rank = br_hash_str(zc.self->id.text, br_hash_str(zc.self->zone, 0));
 	br_members_each(members, UINT64_MAX, count_zone, &zc);
 	if (zc.agents >= AGENTS_PER_ZONE) {
@@ -172,10 +223,13 @@
 	if (!a->missing_us)
 		a->missing_us = now_us;
 	wait_s = zc.before < CLOSE_RANKS ? zc.before : (uint64_t)zc.before * CLOSE_RANKS;
+	if (is_alone(members))
+		wait_s = ALONE_WAIT_S;
 	if (now_us < a->missing_us + wait_s * BR_US_PER_S || now_us < a->retry_us)
 		return;
-	a->state = AGENT_CLAIMING;
-	control_platform(a->ctl, &op, take_lease, a);
+	a->state = AGENT_READING;
+	zone_prefix(a, op.key, sizeof(op.key));
+	control_platform(a->ctl, &op, take_zone_list, a);
 }
 
 static void take_renewal(struct control *ctl, void *arg, const struct platform_result *res,
@@ -294,9 +348,7 @@
 	const struct settings_addresses *seeds = &node_of(a)->settings->seeds;
 	struct br_members *members = gossip_members(control_gossip(a->ctl));
 	struct platform_op op = {.type = PLATFORM_RANGE};
-
-	bool alone =
-		br_members_count(members) == 1 + br_members_count_state(members, BR_MEMBER_DEAD);
+	bool alone = is_alone(members);
 
 	if (now_us < a->contact_us)
 		return;
@@ -320,6 +372,7 @@
 	case AGENT_IDLE:
 		seek_role(a, now_us);
 		break;
+	case AGENT_READING:
 	case AGENT_CLAIMING:
 		break;
 	case AGENT_HELD:
