Pull the member table only from a peer that is ahead

Cause: a node that was probed compared digests before its answer had brought the sender its changes, so it pulled from every peer that was behind itself: 582 bytes asked and whole buckets answered. Change: the probed node pulls only if its answer carries no changes; the probing node pulls as before.

--- a/node/gossip.c
+++ b/node/gossip.c
@@ -156,9 +156,9 @@
 	br_members_set_self(g->members, state, t.service, t.present, flags);
 }
 
-/* Writes the common part of PING and PONG. */
-static void build_exchange(struct gossip *g, struct wire_out *out, enum wire_type type,
-			   const struct br_node_id *peer, uint64_t now_us)
+/* Writes the common part of PING and PONG. Returns the number of changes in it. */
+static size_t build_exchange(struct gossip *g, struct wire_out *out, enum wire_type type,
+			     const struct br_node_id *peer, uint64_t now_us)
 {
 	struct br_member updates[UPDATES_PER_MESSAGE];
 	size_t n = br_members_pick_updates(g->members, peer, updates, UPDATES_PER_MESSAGE);
@@ -173,6 +173,7 @@
 	wire_put_array(out, (uint32_t)n);
 	for (size_t i = 0; i < n; i++)
 		wire_put_member(out, &updates[i]);
+	return n;
 }
 
 static void read_members_result(struct control *ctl, void *arg, const struct wire_in *msg,
@@ -306,9 +307,12 @@
 	request_page(g, &page);
 }
 
-/* Takes over what a PING or PONG tells. Returns false if it is malformed. */
+/*
+ * Takes over what a PING or PONG tells. *differs becomes true if the sender's table still differs
+ * from this node's. Returns false if the message is malformed.
+ */
 static bool take_exchange(struct gossip *g, const struct wire_in *in, struct br_member *sender,
-			  uint64_t now_us)
+			  bool *differs, uint64_t now_us)
 {
 	const msgpack_object *items;
 	uint64_t watermark, age_ms, digest, slot_digest;
@@ -329,8 +333,7 @@
 	else if (age_ms != NO_FRESHNESS && watermark == br_config_watermark(g->config) &&
 		 age_ms * BR_US_PER_MS < now_us)
 		blackboard_confirm(node_of(g)->board, now_us - age_ms * BR_US_PER_MS);
-	if (digest != br_members_digest(g->members))
-		pull_members(g, sender->control);
+	*differs = digest != br_members_digest(g->members);
 	if (slot_digest != slot_control_digest(control_slots(g->ctl)))
 		pull_slots(g, sender->control);
 	return true;
@@ -341,9 +344,13 @@
 	struct probe *p = arg;
 	struct gossip *g = control_gossip(ctl);
 	struct br_member sender;
-	bool ok = msg && msg->type == WIRE_PONG && take_exchange(g, msg, &sender, now_us) &&
+	bool differs = false;
+	bool ok = msg && msg->type == WIRE_PONG &&
+		  take_exchange(g, msg, &sender, &differs, now_us) &&
 		  (!p->id.text[0] || br_node_id_equal(&sender.id, &p->id));
 
+	if (differs)
+		pull_members(g, sender.control);
 	if (p->indirect) {
 		struct wire_out out;
 
@@ -617,11 +624,19 @@
 {
 	struct br_member sender;
 	struct wire_out out;
+	bool differs = false;
+	size_t n;
 
-	if (!take_exchange(g, in, &sender, now_us))
+	if (!take_exchange(g, in, &sender, &differs, now_us))
 		return false;
-	build_exchange(g, &out, WIRE_PONG, &sender.id, now_us);
+	n = build_exchange(g, &out, WIRE_PONG, &sender.id, now_us);
 	control_reply(g->ctl, token, &out);
+	/*
+	 * A node that passes changes on is probably ahead of the sender, which learns them from
+	 * this answer and pulls if its table differs even then.
+	 */
+	if (differs && !n)
+		pull_members(g, sender.control);
 	return true;
 }
 
