Tell absent, released and taken over slot keys apart

Cause: br_slots_tenure() told only whether the former holder had released the slot, and a key could vanish soon after a former holder was active: a claim could be written under a lease that was about to end, and a stop deleted the lease while a write of unknown effect could still arrive.

Change: br_slots_tenure() returns the origin and the former value from the write of the key to its release. A key is claimed only with at least half of the lease left. A stop reads an unclear write back first, and leaves a lease under which an answer was lost to its expiry. A released entry that arrives by gossip is read at once; the former holder stays only seconds.

Conclusion: a key that is absent proves that no former holder was active during the last half of a lease. The wait of one term after an absent key stays: leases of the former holder run up to one term beyond its right, and a lapsed key cannot be told from one that was never used.

--- a/include/briarreel/slot.h
+++ b/include/briarreel/slot.h
@@ -153,12 +153,32 @@
 /** Time at which the right to grant from all slots of this node ends; 0 without a lease. */
 uint64_t br_slots_right_until(const struct br_slots *s);
 
+/** What a holder found at the key when it took a slot. */
+enum br_slot_origin {
+	/** No key: the slot was never used, or the former holder's platform lease ran out. */
+	BR_SLOT_ABSENT,
+	/** A key that the former holder had written as released. */
+	BR_SLOT_RELEASED,
+	/** A key that the former holder had not released. */
+	BR_SLOT_TAKEN_OVER,
+};
+
+/** A tenure of a slot by this process; since_us tells its tenures of one slot apart. */
+struct br_slot_tenure {
+	uint64_t since_us;
+	enum br_slot_origin origin;
+	/** Value of the key before; epoch 0 if it was absent. */
+	struct br_slot_holder former;
+};
+
 /**
- * Time at which this node's present tenure of a slot began, and whether the holder before
- * released it cleanly. Returns false if this node does not hold the slot.
+ * This node's present tenure of a slot, from the write of the key to its release; see
+ * br_slots_may_grant() for the right to act. Returns false if this node does not hold the slot.
  */
-bool br_slots_tenure(const struct br_slots *s, uint32_t slot, uint64_t now_us, uint64_t *since_us,
-		     bool *clean);
+bool br_slots_tenure(const struct br_slots *s, uint32_t slot, struct br_slot_tenure *out);
+
+/** True while this node releases a slot that it holds: no grants, key not yet released. */
+bool br_slots_releasing(const struct br_slots *s, uint32_t slot);
 
 /**
  * Begins the clean release: no grants from now on; after one lease term each key is written as
--- a/lib/slot.c
+++ b/lib/slot.c
@@ -62,16 +62,26 @@
 	return s->lease_id ? s->right_until_us : 0;
 }
 
-bool br_slots_tenure(const struct br_slots *s, uint32_t slot, uint64_t now_us, uint64_t *since_us,
-		     bool *clean)
+bool br_slots_tenure(const struct br_slots *s, uint32_t slot, struct br_slot_tenure *out)
 {
-	if (!br_slots_holds(s, slot, now_us))
+	const struct slot *sl = &s->slots[slot];
+
+	if (slot >= BR_SLOTS_MAX || sl->state == SLOT_IDLE)
 		return false;
-	*since_us = s->slots[slot].since_us;
-	*clean = s->slots[slot].clean;
+	out->since_us = sl->since_us;
+	out->former = sl->former;
+	if (!sl->former.epoch)
+		out->origin = BR_SLOT_ABSENT;
+	else
+		out->origin = sl->former.released ? BR_SLOT_RELEASED : BR_SLOT_TAKEN_OVER;
 	return true;
 }
 
+bool br_slots_releasing(const struct br_slots *s, uint32_t slot)
+{
+	return slot < BR_SLOTS_MAX && s->slots[slot].state == SLOT_RELEASING;
+}
+
 static void drop(struct slot *sl)
 {
 	sl->state = SLOT_IDLE;
@@ -114,7 +124,8 @@
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < BR_SLOTS_MAX; i++)
-		n += s->slots[i].state != SLOT_IDLE || s->slots[i].writing;
+		n += s->slots[i].state != SLOT_IDLE || s->slots[i].writing ||
+		     s->slots[i].write_unknown;
 	return n;
 }
 
@@ -300,7 +311,11 @@
 		.epoch = sl->entry.epoch + 1,
 	};
 
-	if (!lease_valid(s, now_us)) {
+	/*
+	 * An absent key means that no former holder was active for a while (design 2.7). So a key
+	 * must not lapse soon after a claim has replaced a former holder's value.
+	 */
+	if (!lease_valid(s, now_us) || now_us + s->cfg.ttl_us / 2 > s->right_until_us) {
 		if (s->lease_busy || now_us < s->renew_us)
 			return false;
 		return emit_lease(s, s->lease_id ? BR_SLOT_OP_LEASE_RENEW : BR_SLOT_OP_LEASE_CREATE,
@@ -369,8 +384,12 @@
 	s->drop_tried = drop;
 	if (needed)
 		return emit_lease(s, BR_SLOT_OP_LEASE_RENEW, now_us, op);
-	if (s->stopping)
+	if (!s->stopping)
+		return false;
+	/* A late write would be deleted with the lease, although the former holder is recent. */
+	if (!s->write_lost)
 		return emit_lease(s, BR_SLOT_OP_LEASE_DELETE, now_us, op);
+	s->lease_id = 0;
 	return false;
 }
 
@@ -405,6 +424,7 @@
 	sl->rev = rev;
 	sl->lease_id = sl->wrote_lease;
 	sl->since_us = now_us;
+	sl->former = sl->key;
 	/* Rate leases that the former holder gave out end within one term. */
 	sl->grant_from_us = sl->clean ? now_us : now_us + term_with_margin(s);
 	sl->entry = sl->wrote;
@@ -526,6 +546,7 @@
 		return;
 	case BR_SLOT_UNKNOWN:
 		sl->write_unknown = true;
+		s->write_lost |= op->lease_id != 0;
 		sl->retry_us = now_us + READ_BACK_US;
 		return;
 	}
--- a/lib/slot_map.c
+++ b/lib/slot_map.c
@@ -48,6 +48,9 @@
 		return true;
 	}
 	sl->entry = *entry;
+	/* The former holder waits only some seconds for the next one to fetch its claims. */
+	if (entry->released)
+		sl->retry_us = 0;
 	return true;
 }
 
--- a/lib/slot_private.h
+++ b/lib/slot_private.h
@@ -39,6 +39,8 @@
 	uint64_t lease_id;
 	uint64_t since_us;
 	uint64_t grant_from_us;
+	/* Value of the key before this tenure; epoch 0 if it was absent. */
+	struct br_slot_holder former;
 	uint64_t release_us;
 	/* A higher epoch that others gossip for this slot, to be exceeded; 0 if none. */
 	uint64_t rival_epoch;
@@ -63,6 +65,8 @@
 	uint64_t renew_us;
 	bool lease_busy;
 	bool drop_tried;
+	/* The answer to a write under the lease was lost, so its effect may still appear. */
+	bool write_lost;
 
 	uint64_t scan_us;
 	uint64_t fair;
