Change the window of a running registrar and reopen closed slots

Cause: dedupe_window_s was read once, when the registrar was created, and a closed slot could only be dropped or imported again.

Change: br_registrar_set_window() lengthens remembered claims and running refusals; a shorter window applies to new claims only. br_registrar_reopen() acts again for a closed slot with its claims. br_registrar_quiet_us() tells how long before the end of its right a holder stops to accept claims, and whether the autonomy is long enough.

Conclusion: callers keep what was promised when their id was claimed.

--- a/include/briarreel/registrar.h
+++ b/include/briarreel/registrar.h
@@ -105,9 +105,9 @@
 
 /**
  * Starts to act for a slot. clean: the former holder stopped, and its slot state and all its claims
- * were imported before this call. Without clean or a whole import, ids that may have been claimed
- * earlier are refused for window_us; the first start of a deployment is no exception. Returns 0,
- * -ERANGE, or -EBUSY if the slot is already held here.
+ * were imported before this call; the import is empty if the slot's key was absent, see
+ * br_registrar_quiet_us(). Without clean or a whole import, ids that may have been claimed earlier
+ * are refused for window_us. Returns 0, -ERANGE, or -EBUSY if the slot is already held here.
  */
 int br_registrar_takeover(struct br_registrar *r, uint32_t slot, uint64_t wall_ms, uint64_t now_us,
 			  bool clean);
@@ -115,6 +115,26 @@
 /** Stops to act for a slot and keeps its claims for an export. */
 void br_registrar_close(struct br_registrar *r, uint32_t slot);
 
+/**
+ * Acts again for a closed slot that no other node has held meanwhile. Returns 0, or -ENOENT if the
+ * slot is not closed.
+ */
+int br_registrar_reopen(struct br_registrar *r, uint32_t slot);
+
+/**
+ * Changes window_us. A longer window applies also to the claims that are remembered and to a
+ * refusal that still runs; a shorter one leaves both as they are, because callers rely on what was
+ * in force when their ids were claimed.
+ */
+void br_registrar_set_window(struct br_registrar *r, uint64_t window_us, uint64_t now_us);
+
+/**
+ * Time before the end of its right to a slot at which a holder stops to accept claims, so that all
+ * of them have ended when the slot's key lapses: the window and 2% for the drift of clocks. 0 if
+ * autonomy_us (the time to live of the key) is too short; an absent key then proves nothing.
+ */
+uint64_t br_registrar_quiet_us(uint64_t window_us, uint64_t autonomy_us);
+
 /** Stops to act for a slot and forgets its claims. */
 void br_registrar_drop(struct br_registrar *r, uint32_t slot);
 
@@ -127,7 +147,9 @@
  *
  * first is only safe while the request is younger than the shortest takeover (one lease term): an
  * older message may have been overtaken by a repeat that ran under the former holder. The entry
- * node passes first = false for a request that waited longer or whose caller has hung up.
+ * node passes first = false for a request that waited longer or whose caller has hung up. If that
+ * became so by the time of the reply, it neither dispatches the attempt nor releases the claim,
+ * because a release would tell that the id is free.
  */
 struct br_claim_reply br_registrar_claim(struct br_registrar *r, uint32_t slot,
 					 const struct br_claim_key *key, bool first,
--- a/lib/registrar.c
+++ b/lib/registrar.c
@@ -9,6 +9,8 @@
 #define DEFAULT_CLAIMS 1048576
 #define DEFAULT_WINDOW_US (120 * BR_US_PER_S)
 #define DEFAULT_CLOCK_SKEW_MS 5000
+/* Least surplus of half the autonomy over the quiet time. */
+#define QUIET_SPARE_US (1 * BR_US_PER_S)
 
 static uint64_t key_hash(const struct br_claim_key *key)
 {
@@ -87,7 +89,8 @@
 
 static void touch(struct br_registrar *r, struct claim *c, uint64_t now_us)
 {
-	c->expires_us = now_us + r->cfg.window_us;
+	if (c->expires_us < now_us + r->cfg.window_us)
+		c->expires_us = now_us + r->cfg.window_us;
 	TAILQ_REMOVE(&r->slots[c->slot].claims, c, link);
 	TAILQ_INSERT_TAIL(&r->slots[c->slot].claims, c, link);
 }
@@ -101,6 +104,8 @@
 
 	if (!c)
 		return false;
+	if (old && old->expires_us > expires_us)
+		expires_us = old->expires_us;
 	if (old)
 		remove_claim(r, old);
 	c->slot = slot;
@@ -130,6 +135,46 @@
 		remove_claim(r, c);
 }
 
+/* Finds a claim that has not expired. One made after the window was shortened may be behind. */
+static struct claim *live_claim(struct br_registrar *r, uint32_t slot,
+				const struct br_claim_key *key, uint64_t now_us)
+{
+	struct claim *c;
+
+	expire_slot(r, slot, now_us);
+	c = find_claim(r, key);
+	if (!c || c->expires_us > now_us)
+		return c;
+	remove_claim(r, c);
+	return NULL;
+}
+
+void br_registrar_set_window(struct br_registrar *r, uint64_t window_us, uint64_t now_us)
+{
+	uint64_t more_us = window_us > r->cfg.window_us ? window_us - r->cfg.window_us : 0;
+
+	r->cfg.window_us = window_us;
+	for (uint32_t i = 0; more_us && i < r->cfg.n_slots; i++) {
+		struct slot *s = &r->slots[i];
+		struct claim *c;
+
+		expire_slot(r, i, now_us);
+		TAILQ_FOREACH(c, &s->claims, link)
+		{
+			c->expires_us += more_us;
+		}
+		if (s->refuse_until_us > now_us)
+			s->refuse_until_us += more_us;
+	}
+}
+
+uint64_t br_registrar_quiet_us(uint64_t window_us, uint64_t autonomy_us)
+{
+	uint64_t quiet_us = window_us + window_us / 50;
+
+	return autonomy_us / 2 > quiet_us + QUIET_SPARE_US ? quiet_us : 0;
+}
+
 void br_registrar_expire(struct br_registrar *r, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < r->cfg.n_slots; i++)
@@ -252,6 +297,15 @@
 	r->slots[slot].closed = true;
 }
 
+int br_registrar_reopen(struct br_registrar *r, uint32_t slot)
+{
+	if (slot >= r->cfg.n_slots || !r->slots[slot].closed)
+		return -ENOENT;
+	r->slots[slot].closed = false;
+	r->slots[slot].held = true;
+	return 0;
+}
+
 /* Why a new claim is not accepted; GRANTED if it is. */
 static struct br_claim_reply check_new(const struct br_registrar *r, uint32_t slot,
 				       const struct br_claim_key *key, bool first, uint64_t now_us)
@@ -324,8 +378,7 @@
 
 	if (!acts_for(r, slot, key))
 		return (struct br_claim_reply){.result = BR_CLAIM_NOT_HOLDER};
-	expire_slot(r, slot, now_us);
-	c = find_claim(r, key);
+	c = live_claim(r, slot, key, now_us);
 	if (!c)
 		return add_claim(r, slot, key, first, where, now_us);
 	if (c->released) {
@@ -348,8 +401,7 @@
 
 	if (!acts_for(r, slot, key) || !br_attempt_same_entry(from, &to->attempt))
 		return (struct br_claim_reply){.result = BR_CLAIM_NOT_HOLDER};
-	expire_slot(r, slot, now_us);
-	c = find_claim(r, key);
+	c = live_claim(r, slot, key, now_us);
 	if (!c)
 		return add_claim(r, slot, key, false, to, now_us);
 	if (c->released) {
@@ -370,8 +422,7 @@
 
 	if (!acts_for(r, slot, key))
 		return -ENOENT;
-	expire_slot(r, slot, now_us);
-	c = find_claim(r, key);
+	c = live_claim(r, slot, key, now_us);
 	if (c && c->released)
 		return 0;
 	if (c && !claim_is(c, attempt))
--- a/tests/unit/registrar.c
+++ b/tests/unit/registrar.c
@@ -305,3 +305,61 @@
 	cr_assert_eq(br_claim_record_parse("a b e:1/5/1 - 7 1 9", &rec), 0);
 	cr_assert(rec.released && rec.left_us == 9 && !rec.where.node.text[0]);
 }
+
+/* An operator's longer window must protect the ids that are in use when it comes into force. */
+Test(registrar, longer_window_in_a_running_registrar)
+{
+	struct br_registrar *r = create(0);
+	struct br_claim_key b = {.account = "acc", .id = "b@2"};
+	struct br_claim_where w = where("e:1", 1, "t:1");
+	struct br_claim_where other = where("e:2", 1, "t:1");
+
+	cr_assert_eq(claim(r, &key, true, w, 100 * S), BR_CLAIM_GRANTED);
+	br_registrar_set_window(r, 300 * S, 110 * S);
+	cr_assert_eq(claim(r, &b, false, w, 299 * S), BR_CLAIM_NO_MEMORY);
+	cr_assert_eq(claim(r, &b, false, w, 300 * S), BR_CLAIM_GRANTED);
+	cr_assert_eq(claim(r, &key, true, other, 399 * S), BR_CLAIM_RUNS_AT);
+	cr_assert_eq(claim(r, &b, true, other, 599 * S), BR_CLAIM_RUNS_AT);
+	cr_assert_eq(claim(r, &key, true, other, 699 * S), BR_CLAIM_GRANTED);
+	br_registrar_destroy(r);
+}
+
+/* A shorter window applies to new claims and does not break what was promised before. */
+Test(registrar, shorter_window_in_a_running_registrar)
+{
+	struct br_registrar *r = create(0);
+	struct br_claim_key b = {.account = "acc", .id = "b@2"};
+	struct br_claim_where w = where("e:1", 1, "t:1");
+	struct br_claim_where other = where("e:2", 1, "t:1");
+
+	cr_assert_eq(claim(r, &key, false, w, 200 * S), BR_CLAIM_GRANTED);
+	br_registrar_set_window(r, 10 * S, 200 * S);
+	cr_assert_eq(claim(r, &b, false, w, 200 * S), BR_CLAIM_GRANTED);
+	cr_assert_eq(claim(r, &b, false, other, 210 * S), BR_CLAIM_GRANTED,
+		     "the new claim expires before the old one");
+	cr_assert_eq(claim(r, &key, false, other, 319 * S), BR_CLAIM_RUNS_AT);
+	cr_assert_eq(claim(r, &key, false, other, 330 * S), BR_CLAIM_GRANTED);
+	br_registrar_destroy(r);
+}
+
+Test(registrar, reopened_slot_keeps_its_claims)
+{
+	struct br_registrar *r = create(0);
+	struct br_claim_where w = where("e:1", 1, "t:1");
+
+	cr_assert_eq(br_registrar_reopen(r, 2), -ENOENT);
+	cr_assert_eq(claim(r, &key, false, w, 200 * S), BR_CLAIM_GRANTED);
+	br_registrar_close(r, 2);
+	cr_assert_eq(claim(r, &key, false, w, 201 * S), BR_CLAIM_NOT_HOLDER);
+	cr_assert_eq(br_registrar_reopen(r, 2), 0);
+	cr_assert_eq(claim(r, &key, false, where("e:2", 1, "t:1"), 202 * S), BR_CLAIM_RUNS_AT);
+	br_registrar_destroy(r);
+}
+
+/* With too short a lease an absent key proves nothing about recent claims. */
+Test(registrar, quiet_time)
+{
+	cr_assert_eq(br_registrar_quiet_us(100 * S, 3600 * S), 102 * S);
+	cr_assert_eq(br_registrar_quiet_us(100 * S, 206 * S), 0);
+	cr_assert_eq(br_registrar_quiet_us(100 * S, 207 * S), 102 * S);
+}
