Hand the claims of released slots over to their new holders

Cause: every takeover of a slot counted as one without memory, so for dedupe_window_s after the first start of a mesh, a planned stop or a rolling replacement the registrar refused ids it could not know to be new.

Change: node/claim_slots.c keeps the claims of a slot that is given up, node/claim_fetch.c serves them in pages on the peer port and, in a thread of its own, fetches those of a released slot before the registrar acts for it (at most 2 s, otherwise without memory). A slot whose key was absent needs no memory, because holders stop to accept claims dedupe_window_s and 2% before their right ends. The slot map is published before platform operations are started, so a slot is closed before its key is written as released. A leaving node waits up to 5 s for the fetches. dedupe_window_s takes effect in a running registrar.

A zone with a single node is not covered, because nodes of other zones wait 10 s before they take its slots.

Also in this commit, because it changes the same functions of claims.c:

claims as a first attempt are made only while no repeat can have run

Cause: Briarreel-Attempt: 1 passed a registrar without memory whatever the age of the request, so a message that arrived later than a takeover takes could run a second time.

Change: the claim says "first" only after a refusal for lack of memory, while the request is younger than half a lease term and its caller is still connected. If the request is older when the reply comes, or no reply comes, the attempt is not dispatched and the claim is kept, because its release would tell that the id is free.

Conclusion: a late first message is refused as not run. A caller must abandon the connection of its first attempt before it repeats.

--- a/node/call.c
+++ b/node/call.c
@@ -1,5 +1,7 @@
 #include "node/call.h"
 
+#include "common/clock.h"
+
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +11,7 @@
 void call_init(struct call *c)
 {
 	memset(c, 0, sizeof(*c));
+	c->arrived_us = clock_now_us();
 	pthread_mutex_init(&c->cancel.lock, NULL);
 }
 
--- a/node/call.h
+++ b/node/call.h
@@ -12,6 +12,8 @@
 
 #include <pthread.h>
 
+struct mg_connection;
+
 /** Account name of requests on open routes that come without a key. */
 #define CALL_ANONYMOUS "-"
 
@@ -52,6 +54,10 @@
 	bool idempotent;
 	/** The caller declared that this is its first attempt. */
 	bool first_attempt;
+	/** Monotonic time at which this node began to handle the request. */
+	uint64_t arrived_us;
+	/** Connection of the caller; NULL if the call did not come over the caller port. */
+	const struct mg_connection *conn;
 	uint32_t depth;
 	/** Retries that this call and all calls below it may use. */
 	uint32_t retries;
--- a/node/caller.c
+++ b/node/caller.c
@@ -261,6 +261,7 @@
 	r->node = node;
 	r->conn = conn;
 	call_init(&r->call);
+	r->call.conn = conn;
 	serve(r);
 	call_destroy(&r->call);
 	br_view_put(r->view);
--- a/node/claims.c
+++ b/node/claims.c
@@ -6,6 +6,9 @@
 #include "common/http_server.h"
 #include "common/log.h"
 #include "node/blackboard.h"
+#include "node/claim_fetch.h"
+#include "node/claim_slots.h"
+#include "node/conn_watch.h"
 #include "node/counters.h"
 #include "node/forward.h"
 #include "node/node.h"
@@ -48,11 +51,8 @@
 
 struct claims {
 	struct node *node;
-	pthread_mutex_t lock;
-	/** NULL until the number of slots is known. */
-	struct br_registrar *registrar;
-	uint32_t n_slots;
-	bool held[BR_SLOTS_MAX];
+	struct claim_slots *slots;
+	struct claim_fetcher *fetcher;
 };
 
 struct claims *claims_create(struct node *node)
@@ -62,7 +62,13 @@
 	if (!cl)
 		return NULL;
 	cl->node = node;
-	pthread_mutex_init(&cl->lock, NULL);
+	cl->slots = claim_slots_create(node);
+	if (cl->slots)
+		cl->fetcher = claim_fetcher_create(node, cl->slots);
+	if (!cl->fetcher) {
+		claims_destroy(cl);
+		return NULL;
+	}
 	return cl;
 }
 
@@ -70,9 +76,8 @@
 {
 	if (!cl)
 		return;
-	if (cl->registrar)
-		br_registrar_destroy(cl->registrar);
-	pthread_mutex_destroy(&cl->lock);
+	claim_fetcher_destroy(cl->fetcher);
+	claim_slots_destroy(cl->slots);
 	free(cl);
 }
 
@@ -82,35 +87,31 @@
 {
 	struct br_claim_key key = {.account = m->account, .id = m->id};
 	uint64_t now_us = clock_now_us();
+	struct br_registrar *r = claim_slots_lock(cl->slots, m->slot, now_us);
 
 	*reply = (struct br_claim_reply){.result = BR_CLAIM_NOT_HOLDER};
-	if (!blackboard_slot_is_own(cl->node->board, m->slot, now_us))
+	if (!r)
 		return;
-	pthread_mutex_lock(&cl->lock);
-	if (cl->registrar && br_registrar_held(cl->registrar, m->slot)) {
-		switch (m->op) {
-		case CLAIM_OP_CLAIM:
-			*reply = br_registrar_claim(cl->registrar, m->slot, &key, m->first,
-						    &m->where, now_us);
-			break;
-		case CLAIM_OP_MOVE:
-			*reply = br_registrar_move(cl->registrar, m->slot, &key, &m->from,
-						   &m->where, now_us);
-			break;
-		case CLAIM_OP_RELEASE:
-			br_registrar_release(cl->registrar, m->slot, &key, &m->from, now_us);
-			reply->result = BR_CLAIM_RELEASED;
-			break;
-		case CLAIM_OPS:
-			break;
-		}
-		counter_add(reply->result == BR_CLAIM_GRANTED ? COUNTER_REGISTRAR_CLAIMS
-							      : COUNTER_REGISTRAR_REFUSED,
-			    1);
+	switch (m->op) {
+	case CLAIM_OP_CLAIM:
+		*reply = br_registrar_claim(r, m->slot, &key, m->first, &m->where, now_us);
+		break;
+	case CLAIM_OP_MOVE:
+		*reply = br_registrar_move(r, m->slot, &key, &m->from, &m->where, now_us);
+		break;
+	case CLAIM_OP_RELEASE:
+		br_registrar_release(r, m->slot, &key, &m->from, now_us);
+		reply->result = BR_CLAIM_RELEASED;
+		break;
+	case CLAIM_OPS:
+		break;
 	}
-	pthread_mutex_unlock(&cl->lock);
+	claim_slots_unlock(cl->slots);
+	counter_add(reply->result == BR_CLAIM_GRANTED ? COUNTER_REGISTRAR_CLAIMS
+						      : COUNTER_REGISTRAR_REFUSED,
+		    1);
 	/* A pause between the check and the claim may have outlasted the right to the slot. */
-	if (!blackboard_slot_is_own(cl->node->board, m->slot, clock_now_us()))
+	if (!claim_slots_may_act(cl->slots, m->slot, clock_now_us()))
 		reply->result = BR_CLAIM_NOT_HOLDER;
 }
 
@@ -153,12 +154,17 @@
 	       !br_attempt_id_parse(get_text(obj, "attempt"), &where->attempt);
 }
 
+static const char *op_name(enum claim_op op)
+{
+	return op < CLAIM_OPS ? op_names[op] : "";
+}
+
 static struct json_object *encode_message(const struct claim_message *m)
 {
 	struct json_object *obj = json_object_new_object();
 	char from[BR_ATTEMPT_ID_BYTES];
 
-	add_text(obj, "op", op_names[m->op]);
+	add_text(obj, "op", op_name(m->op));
 	add_text(obj, "account", m->account);
 	add_text(obj, "id", m->id);
 	json_object_object_add(obj, "slot", json_object_new_int((int32_t)m->slot));
@@ -289,21 +295,62 @@
 	br_copy_text(m->account, sizeof(m->account), c->scope);
 	br_copy_text(m->id, sizeof(m->id), c->request_id);
 	m->slot = n_slots ? br_registrar_slot_of(&key, n_slots) : 0;
-	m->first = c->first_attempt;
 }
 
-int claims_claim(struct claims *cl, const struct call *c, const struct br_attempt_id *from,
+/* A takeover takes at least one lease term. */
+static uint64_t half_term_us(struct claims *cl)
+{
+	struct br_view *view = blackboard_config(cl->node->board);
+	uint64_t term_us = view ? (uint64_t)br_view_mesh(view)->lease_term_ms * BR_US_PER_MS : 0;
+
+	br_view_put(view);
+	return term_us / 2;
+}
+
+static bool is_young(struct claims *cl, const struct call *c)
+{
+	return clock_now_us() - c->arrived_us < half_term_us(cl);
+}
+
+/*
+ * True if no repeat of a declared first attempt can have run under a former registrar. A request
+ * may have waited unseen in the accept queue; then its caller is gone before it repeats.
+ */
+static bool is_first(struct claims *cl, struct call *c)
+{
+	return c->first_attempt && is_young(cl, c) && !call_cancelled(c) && c->conn &&
+	       !conn_watch_gone(c->conn);
+}
+
+static int send_claim(struct claims *cl, const struct call *c, const struct claim_message *m,
+		      struct br_claim_reply *reply)
+{
+	uint32_t left_ms = call_left_ms(c, clock_now_us());
+
+	return run_message(cl, m, left_ms < CALL_TIMEOUT_MS ? left_ms + 1 : CALL_TIMEOUT_MS, reply);
+}
+
+int claims_claim(struct claims *cl, struct call *c, const struct br_attempt_id *from,
 		 const struct br_claim_where *where, struct br_claim_reply *reply)
 {
 	struct claim_message m = {.op = from ? CLAIM_OP_MOVE : CLAIM_OP_CLAIM, .where = *where};
-	uint32_t left_ms = call_left_ms(c, clock_now_us());
 	int ret;
 
 	if (from)
 		m.from = *from;
 	fill_message(cl, c, &m);
-	ret = run_message(cl, &m, left_ms < CALL_TIMEOUT_MS ? left_ms + 1 : CALL_TIMEOUT_MS, reply);
-	if (ret)
+	ret = send_claim(cl, c, &m, reply);
+	if (!ret && reply->result == BR_CLAIM_NO_MEMORY && !from && is_first(cl, c)) {
+		m.first = true;
+		ret = send_claim(cl, c, &m, reply);
+		/* Late: an earlier run is possible, so the claim must not be released as free. */
+		if (!is_young(cl, c)) {
+			reply->result = BR_CLAIM_RELEASED;
+			return 0;
+		}
+	}
+	/* A claim as a first attempt may yet arrive late, so it is not released either. */
+	if (ret && !m.first)
 		claims_release(cl, c, &where->attempt);
 	return ret;
 }
@@ -317,51 +364,23 @@
 	run_message(cl, &m, CALL_TIMEOUT_MS, &reply);
 }
 
-static bool ensure_registrar(struct claims *cl, uint32_t n_slots)
+void claims_update_slots(struct claims *cl, const struct br_slots *slots, uint64_t autonomy_us,
+			 uint64_t now_us)
 {
-	struct br_view *view = blackboard_config(cl->node->board);
-	struct br_registrar_config cfg = {.n_slots = n_slots};
-
-	if (view)
-		cfg.window_us = (uint64_t)br_view_mesh(view)->dedupe_window_s * BR_US_PER_S;
-	br_view_put(view);
-	if (cl->registrar && cl->n_slots == n_slots)
-		return true;
-	/* A changed number of slots moves ids between slots, so nothing that is known applies. */
-	if (cl->registrar)
-		br_registrar_destroy(cl->registrar);
-	memset(cl->held, 0, sizeof(cl->held));
-	cl->registrar = br_registrar_create(&cfg);
-	cl->n_slots = n_slots;
-	return cl->registrar != NULL;
+	claim_slots_update(cl->slots, slots, autonomy_us, now_us);
 }
 
-void claims_update_slots(struct claims *cl, uint64_t now_us)
+bool claims_handed_over(struct claims *cl)
 {
-	uint32_t n_slots = blackboard_n_slots(cl->node->board);
+	return claim_slots_handed_over(cl->slots);
+}
 
-	if (!n_slots)
-		return;
-	pthread_mutex_lock(&cl->lock);
-	if (ensure_registrar(cl, n_slots)) {
-		for (uint32_t i = 0; i < n_slots; i++) {
-			bool own = blackboard_slot_is_own(cl->node->board, i, now_us);
-
-			if (own && !cl->held[i])
-				br_registrar_takeover(cl->registrar, i, clock_wall_ms(), now_us,
-						      false);
-			if (!own && cl->held[i])
-				br_registrar_drop(cl->registrar, i);
-			cl->held[i] = own;
-		}
-	}
-	pthread_mutex_unlock(&cl->lock);
+void claims_handle_fetch(struct claims *cl, struct mg_connection *conn)
+{
+	claim_fetch_serve(cl->node, cl->slots, conn);
 }
 
 void claims_tick(struct claims *cl, uint64_t now_us)
 {
-	pthread_mutex_lock(&cl->lock);
-	if (cl->registrar)
-		br_registrar_expire(cl->registrar, now_us);
-	pthread_mutex_unlock(&cl->lock);
+	claim_slots_tick(cl->slots, now_us);
 }
--- a/node/conn_watch.c
+++ b/node/conn_watch.c
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <civetweb.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -134,20 +135,39 @@
 	free(w);
 }
 
-void conn_watch_begin(struct conn_watch *w, struct conn_watch_entry *e,
-		      const struct mg_connection *conn, conn_gone_cb cb, void *arg)
+static struct conn_watch_entry entry_of(const struct mg_connection *conn)
 {
 	const struct mg_request_info *ri = mg_get_request_info(conn);
 	struct in_addr addr = {0};
 
 	inet_pton(AF_INET, ri->remote_addr, &addr);
-	*e = (struct conn_watch_entry){.remote_port = (uint16_t)ri->remote_port,
-				       .local_port = (uint16_t)ri->server_port,
-				       .remote_ip = addr.s_addr,
-				       .fd = -1,
-				       .since_us = clock_now_us(),
-				       .cb = cb,
-				       .arg = arg};
+	return (struct conn_watch_entry){.remote_port = (uint16_t)ri->remote_port,
+					 .local_port = (uint16_t)ri->server_port,
+					 .remote_ip = addr.s_addr,
+					 .fd = -1};
+}
+
+bool conn_watch_gone(const struct mg_connection *conn)
+{
+	struct conn_watch_entry e = entry_of(conn);
+	int gap = 0;
+
+	for (int fd = 3; gap < FD_GAP_MAX; fd++) {
+		if (fd_matches(fd, &e))
+			return peer_gone(fd);
+		gap = fcntl(fd, F_GETFD) < 0 ? gap + 1 : 0;
+	}
+	/* A connection that is reset has no peer address any more. */
+	return true;
+}
+
+void conn_watch_begin(struct conn_watch *w, struct conn_watch_entry *e,
+		      const struct mg_connection *conn, conn_gone_cb cb, void *arg)
+{
+	*e = entry_of(conn);
+	e->since_us = clock_now_us();
+	e->cb = cb;
+	e->arg = arg;
 	pthread_mutex_lock(&w->lock);
 	e->next = w->head;
 	if (w->head)
--- a/node/conn_watch.h
+++ b/node/conn_watch.h
@@ -41,6 +41,12 @@
 void conn_watch_begin(struct conn_watch *w, struct conn_watch_entry *e,
 		      const struct mg_connection *conn, conn_gone_cb cb, void *arg);
 
+/**
+ * Looks at a connection at once; true if its peer has gone. Costs a system call for each open
+ * descriptor, so it is for rare cases.
+ */
+bool conn_watch_gone(const struct mg_connection *conn);
+
 /** Ends the watch; after the return the callback does not run and will not run. */
 void conn_watch_end(struct conn_watch *w, struct conn_watch_entry *e);
 
--- a/node/control.c
+++ b/node/control.c
@@ -35,6 +35,8 @@
 #define KICK_INTERVAL_US (1 * BR_US_PER_MS)
 /* Peers learn of a leaving node within this time by gossip. */
 #define LEAVE_SPREAD_US (2 * BR_US_PER_S)
+/* Longest wait for the new holders of released slots to fetch the claims. */
+#define HANDOVER_US (5 * BR_US_PER_S)
 
 /** Who takes the answer of a sent message. */
 struct pending_answer {
@@ -63,6 +65,7 @@
 	uint64_t lease_tick_us;
 	uint64_t second_tick_us;
 	uint64_t left_us;
+	uint64_t released_us;
 	/** Guards the queue and what follows. */
 	pthread_mutex_t lock;
 	pthread_cond_t cond;
@@ -296,6 +299,25 @@
 	agent_resign(ctl->agent);
 }
 
+static bool has_successor(struct control *ctl)
+{
+	struct br_members *members = gossip_members(ctl->gossip);
+
+	return br_members_count_state(members, BR_MEMBER_ALIVE) ||
+	       br_members_count_state(members, BR_MEMBER_DRAINING);
+}
+
+/* True once this node has nothing left that others need. */
+static bool leave_done(struct control *ctl, uint64_t now_us)
+{
+	if (!ctl->left_us || now_us <= ctl->left_us || !slot_control_released(ctl->slots))
+		return false;
+	if (!ctl->released_us)
+		ctl->released_us = now_us;
+	return claims_handed_over(ctl->node->claims) || !has_successor(ctl) ||
+	       now_us - ctl->released_us >= HANDOVER_US;
+}
+
 static void tick(struct control *ctl, bool leave, uint64_t now_us)
 {
 	if (leave && !ctl->left_us)
@@ -323,7 +345,7 @@
 	}
 	if (ctl->members_changed)
 		publish_members(ctl);
-	if (ctl->left_us && now_us > ctl->left_us && slot_control_released(ctl->slots))
+	if (leave_done(ctl, now_us))
 		atomic_store(&ctl->left, true);
 }
 
--- a/node/control.h
+++ b/node/control.h
@@ -28,7 +28,10 @@
 /** Begins to leave: spreads the state and releases the slots cleanly. Any thread. */
 void control_leave(struct control *ctl);
 
-/** True once all slots are released and the leave had time to spread. Any thread. */
+/**
+ * True once all slots are released, the leave had time to spread, and the new holders have fetched
+ * the claims or had 5 s for it. Any thread.
+ */
 bool control_left(struct control *ctl);
 
 /** The rest is for the controllers, on the control thread. */
--- a/node/peer.c
+++ b/node/peer.c
@@ -181,6 +181,8 @@
 	}
 	if (!strcmp(path, HTTP_CALL_SYSTEM_PREFIX "registrar"))
 		claims_handle(node->claims, conn);
+	else if (!strcmp(path, HTTP_CALL_SYSTEM_PREFIX "claims"))
+		claims_handle_fetch(node->claims, conn);
 	else if (!strcmp(path, HTTP_CALL_SYSTEM_PREFIX "cancel"))
 		handle_cancel(node, conn);
 	else if (!strcmp(path, HTTP_CALL_SYSTEM_PREFIX "attempt"))
--- a/node/slot_control.c
+++ b/node/slot_control.c
@@ -27,6 +27,7 @@
 	struct control *ctl;
 	struct br_slots *slots;
 	uint32_t n_slots;
+	uint64_t ttl_us;
 	uint64_t published_digest;
 	struct slot_map map;
 	struct br_slot_member *members;
@@ -216,6 +217,7 @@
 	br_copy_text(cfg.zone, sizeof(cfg.zone), node->settings->zone);
 	sc->slots = br_slots_create(&cfg);
 	sc->n_slots = mesh->share_slots;
+	sc->ttl_us = cfg.ttl_us;
 	return sc->slots != NULL;
 }
 
@@ -239,7 +241,7 @@
 	blackboard_set_slots(control_node(sc->ctl)->board, &map);
 	if (!changed)
 		return;
-	claims_update_slots(control_node(sc->ctl)->claims, now_us);
+	claims_update_slots(control_node(sc->ctl)->claims, sc->slots, sc->ttl_us, now_us);
 	control_slots_changed(sc->ctl);
 }
 
@@ -268,10 +270,11 @@
 	}
 	sv.n_members = collect_members(sc);
 	sv.n_slots = sc->n_slots;
+	/* A slot that is written as released must not accept claims, so it is closed before. */
+	publish(sc, now_us);
 	for (int i = 0; i < OPS_PER_TICK && br_slots_tick(sc->slots, &sv, now_us, &op); i++)
 		submit(sc, &op);
 	br_view_put(view);
-	publish(sc, now_us);
 }
 
 void slot_control_release(struct slot_control *sc, uint64_t now_us)
