--- a/node/forward.c
+++ b/node/forward.c
@@ -348,7 +348,11 @@
 					      &err);
 		if (!ret) {
 			read_answer(a, &resp, ans);
-			/* The first message of an attempt cannot have reached a former process. */
+			/*
+			 * A process of another incarnation did not run it. Neither did a former
+			 * process at this address: no earlier message of this attempt was sent, and
+			 * the pool sends a request once, on the connection that gave this answer.
+			 */
 			if (!sent &&
 			    br_outcome_reason(&ans->outcome) == BR_REASON_WRONG_INCARNATION)
 				ans->outcome = br_outcome_not_run(BR_REASON_CONNECT_FAILED, 0);
