--- a/node/claims.c
+++ b/node/claims.c
@@ -154,12 +154,17 @@
 	       !br_attempt_id_parse(get_text(obj, "attempt"), &where->attempt);
 }
 
+static const char *op_name(enum claim_op op)
+{
+	return op < CLAIM_OPS ? op_names[op] : "";
+}
+
 static struct json_object *encode_message(const struct claim_message *m)
 {
 	struct json_object *obj = json_object_new_object();
 	char from[BR_ATTEMPT_ID_BYTES];
 
-	add_text(obj, "op", op_names[m->op]);
+	add_text(obj, "op", op_name(m->op));
 	add_text(obj, "account", m->account);
 	add_text(obj, "id", m->id);
 	json_object_object_add(obj, "slot", json_object_new_int((int32_t)m->slot));
--- a/tests/random/once.c
+++ b/tests/random/once.c
@@ -1,9 +1,8 @@
 /*
  * Seeded runs of registrar and dedup over a model of entry nodes, targets' nodes and slot holders.
  * Messages are lost, delayed and duplicated, also across a restart at the same address; processes
- * lose all memory; slots are taken over and handed over. Two failures are guarded against: a
- * non-idempotent request id that runs twice, and an attempt that runs although it was reported not
- * run. Time is passed in, so a seed always gives the same run.
+ * lose all memory; slots are taken over and handed over. Guards against a non-idempotent request id
+ * that runs twice and an attempt that runs although it was reported not run. Time is passed in.
  */
 #include "tests/random/once_world.h"
 
