--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -6,6 +6,7 @@
  * deployment's. docs/CAPACITY.md uses the output.
  */
 #include "briarreel/config.h"
+#include "briarreel/dedup.h"
 #include "briarreel/error.h"
 #include "briarreel/grantor.h"
 #include "briarreel/membership.h"
@@ -27,6 +28,7 @@
 #define KEYS 128
 #define LEASE_NODES 40
 #define CLAIMS 200000
+#define ATTEMPTS 100000
 #define UPDATES 8
 #define TICK_US (20 * BR_US_PER_MS)
 #define START_MS 1764845562000ULL
@@ -340,6 +342,33 @@
 	br_registrar_destroy(r);
 }
 
+/* Attempts with a request id that ended without an answer to keep. */
+static void measure_dedup(void)
+{
+	struct br_dedup_config cfg = {.incarnation = START_MS};
+	double heap = heap_bytes();
+	struct br_dedup *d = br_dedup_create(&cfg);
+	struct br_member m = make_member(7);
+	double start = cpu_us();
+	char id[BR_REQUEST_ID_BYTES];
+
+	for (uint64_t i = 1; i <= ATTEMPTS; i++) {
+		struct br_dedup_req req = {
+			.id = {.entry = m.id, .incarnation = START_MS, .counter = i},
+			.target_incarnation = START_MS,
+			.account = "client-account-001",
+			.request_id = id};
+
+		snprintf(id, sizeof(id), "0198a1b2-c3d4-7e5f-8a9b-%012llx@0",
+			 (unsigned long long)i);
+		br_dedup_begin(d, &req, BR_US_PER_S + i);
+		br_dedup_finish(d, &req.id, NULL, BR_US_PER_S + i);
+	}
+	print("dedup: attempt begun and finished", ATTEMPTS, (cpu_us() - start) / ATTEMPTS, "us");
+	print("dedup: bytes for each attempt", ATTEMPTS, (heap_bytes() - heap) / ATTEMPTS, "B");
+	br_dedup_destroy(d);
+}
+
 static void put_ping(struct wire_out *out, size_t n_updates)
 {
 	struct br_member m = make_member(17);
@@ -470,6 +499,7 @@
 	measure_grantor(8, LEASE_NODES);
 	measure_grantor(8, 300);
 	measure_registrar();
+	measure_dedup();
 	measure_ping(0);
 	measure_ping(UPDATES);
 	measure_other_messages();
