--- a/tests/scripts/command.c
+++ b/tests/scripts/command.c
@@ -245,6 +245,32 @@
 		script_fail(ctx, "request: wrong options");
 }
 
+/* Sends a request until its line has the status; prints only the last line. */
+static void cmd_await(struct script_ctx *ctx, int argc, char **argv, const char *heredoc)
+{
+	uint64_t end_us = limit_end(ctx, argv[1]);
+	char status[16];
+
+	(void)heredoc;
+	snprintf(status, sizeof(status), "-> %s", argv[2]);
+	while (!ctx->script->failed) {
+		struct text line = {0};
+
+		if (!http_command(ctx, argc - 3, argv + 3, &line) || !line.data) {
+			script_fail(ctx, "await: wrong options");
+		} else if (strstr(line.data, status)) {
+			text_add(&ctx->out, line.data, line.len);
+			free(line.data);
+			return;
+		} else if (clock_now_us() >= end_us) {
+			script_fail(ctx, "no status %s within %s s, but %s", argv[2], argv[1],
+				    line.data);
+		}
+		free(line.data);
+		clock_sleep_ms(POLL_MS);
+	}
+}
+
 static int compare_lines(const void *a, const void *b)
 {
 	return strcmp(*(char *const *)a, *(char *const *)b);
@@ -346,6 +372,7 @@
 	{"show", 2, cmd_show},
 	{"echo", 1, cmd_echo},
 	{"limit", 2, cmd_limit},
+	{"await", 5, cmd_await},
 	{"number", 3, cmd_number},
 	{"raw", 4, cmd_raw},
 };
