--- a/node/main.c
+++ b/node/main.c
@@ -128,7 +128,9 @@
 		http_handler handler;
 	} specs[LISTENERS] = {
 		[LISTEN_CALLER] = {s->caller_address, s->caller_workers, caller_handle},
-		[LISTEN_PEER] = {s->peer_address, s->peer_workers, peer_handle},
+		[LISTEN_PEER] = {s->peer_listen_address[0] ? s->peer_listen_address
+							   : s->peer_address,
+				 s->peer_workers, peer_handle},
 		[LISTEN_LOCAL] = {s->local_address, s->local_workers, local_handle},
 		[LISTEN_ADMIN] = {s->admin_address, ADMIN_WORKERS, admin_handle},
 	};
--- a/node/node_settings.c
+++ b/node/node_settings.c
@@ -23,6 +23,7 @@
 	TEXT(zone, true),
 	ADDRESS(caller_address, true),
 	ADDRESS(peer_address, true),
+	ADDRESS(peer_listen_address, false),
 	ADDRESS(local_address, true),
 	ADDRESS(admin_address, true),
 	ADDRESS(control_address, true),
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -16,6 +16,8 @@
 	char caller_address[BR_NODE_ID_BYTES];
 	/** Peer address; also the node's id. */
 	char peer_address[BR_NODE_ID_BYTES];
+	/** Where the peer port listens if that is not peer_address, such as behind port mapping. */
+	char peer_listen_address[BR_NODE_ID_BYTES];
 	char local_address[BR_NODE_ID_BYTES];
 	char admin_address[BR_NODE_ID_BYTES];
 	char control_address[BR_NODE_ID_BYTES];
