--- a/common/http_server.c
+++ b/common/http_server.c
@@ -165,8 +165,10 @@
 {
 	int ret = read_body(conn, max_bytes, body, len);
 
-	/* What is left of the body would be taken for the next request. */
-	if (ret)
+	/* What is left of the body would be taken for the next request; CivetWeb itself discards
+	 * the rest of one that is only too large.
+	 */
+	if (ret == -EBADMSG)
 		mg_disable_keep_alive(conn);
 	return ret;
 }
--- a/node/main.c
+++ b/node/main.c
@@ -242,5 +242,8 @@
 		return 0;
 	}
 	log_init("briarreeld", (enum log_level)settings.log_level);
-	return run(&settings);
+	status = run(&settings);
+	/* popt allocates the texts of options. */
+	free((void *)opts.settings);
+	return status;
 }
