--- a/tests/scripts/text.c
+++ b/tests/scripts/text.c
@@ -126,7 +126,11 @@
 			    (!best || strlen(v->value) > strlen(best->value)))
 				best = v;
 		}
-		if (best) {
+		/* The store counts the nodes' own writes too, so its revisions differ from run to run. */
+		if (!strncmp(text, "revision ", 9) && isdigit((unsigned char)text[9])) {
+			text_add(&t, "revision N", 10);
+			text += 9 + strspn(text + 9, "0123456789");
+		} else if (best) {
 			text_printf(&t, "$%s", best->name);
 			text += strlen(best->value);
 		} else {
