Drop a restarted peer's idle connections at once; bound the wait for a release

Cause: (1) after a target restarted, each kept-alive connection to its former process cost one request an unknown outcome. (2) A node stopped while the platform is away waited the whole stop timeout for its slots' release. Change: the first connection that is found dead drops the others of the peer; the release is waited for one lease term plus 5 s.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -128,6 +128,33 @@
 	return conn;
 }
 
+/*
+ * Closes the idle connections to a peer. One that was found dead is usually not the only one: the
+ * peer has restarted, and each of the others would cost a request an unknown outcome.
+ */
+static void drop_idle(struct http_pool *pool, const char *address)
+{
+	struct idle_conn *list = NULL;
+	struct peer *p;
+
+	pthread_mutex_lock(&pool->lock);
+	p = find_peer(pool, address);
+	if (p) {
+		list = p->idle;
+		p->idle = NULL;
+		p->n_idle = 0;
+		p->answered_us = 0;
+	}
+	pthread_mutex_unlock(&pool->lock);
+	while (list) {
+		struct idle_conn *c = list;
+
+		list = c->next;
+		mg_close_connection(c->conn);
+		free(c);
+	}
+}
+
 static void put_idle(struct http_pool *pool, const char *address, struct mg_connection *conn)
 {
 	struct idle_conn *c = malloc(sizeof(*c));
@@ -416,11 +443,14 @@
 	}
 	if (ret) {
 		mg_close_connection(conn);
+		drop_idle(pool, peer);
 		return br_error_set(err, ret, BR_STEP_SEND, peer, "cannot send the request");
 	}
 	ret = receive_response(pool, conn, peer, req->method, wait, resp, &reusable, err);
 	if (ret) {
 		mg_close_connection(conn);
+		if (ret == -ECONNRESET)
+			drop_idle(pool, peer);
 		http_response_free(resp);
 		return ret;
 	}
--- a/node/control.c
+++ b/node/control.c
@@ -42,6 +42,11 @@
 #define LEAVE_SPREAD_STEP_US (500 * BR_US_PER_MS)
 /* Longest wait for the new holders of released slots to fetch the claims. */
 #define HANDOVER_US (5 * BR_US_PER_S)
+/*
+ * Longest wait for the platform to take the release, beyond one lease term. Slots that cannot be
+ * released, as the platform is away, stay held until this node id starts again or the lease ends.
+ */
+#define RELEASE_US (5 * BR_US_PER_S)
 
 /** Who takes the answer of a sent message. */
 struct pending_answer {
@@ -70,6 +75,7 @@
 	uint64_t lease_tick_us;
 	uint64_t second_tick_us;
 	uint64_t left_us;
+	uint64_t release_end_us;
 	uint64_t released_us;
 	/** Guards the queue and what follows. */
 	pthread_mutex_t lock;
@@ -300,6 +306,7 @@
 	size_t n = br_members_count(gossip_members(ctl->gossip));
 
 	log_notice("Leaving: releasing slots.");
+	ctl->release_end_us = now_us + lease_control_term_us(ctl->leases) + RELEASE_US;
 	ctl->left_us = now_us + LEAVE_SPREAD_MIN_US;
 	for (; n > 1; n /= 2)
 		ctl->left_us += LEAVE_SPREAD_STEP_US;
@@ -319,8 +326,14 @@
 /* True once this node has nothing left that others need. */
 static bool leave_done(struct control *ctl, uint64_t now_us)
 {
-	if (!ctl->left_us || now_us <= ctl->left_us || !slot_control_released(ctl->slots))
+	if (!ctl->left_us || now_us <= ctl->left_us)
 		return false;
+	if (!slot_control_released(ctl->slots)) {
+		if (now_us <= ctl->release_end_us)
+			return false;
+		log_warn("The platform did not take the release; slots stay held.");
+		return true;
+	}
 	if (!ctl->released_us)
 		ctl->released_us = now_us;
 	return claims_handed_over(ctl->node->claims) || !has_successor(ctl) ||
--- a/node/lease_control.c
+++ b/node/lease_control.c
@@ -259,6 +259,11 @@
 	}
 }
 
+uint64_t lease_control_term_us(const struct lease_control *lc)
+{
+	return lc->term_us;
+}
+
 bool lease_control_handle(struct lease_control *lc, const struct wire_in *in, uint64_t token,
 			  uint64_t now_us)
 {
--- a/node/lease_control.h
+++ b/node/lease_control.h
@@ -22,6 +22,9 @@
 /** Sends the lease requests that are due; call about every 50 ms and when a request waits. */
 void lease_control_run(struct lease_control *lc, uint64_t now_us);
 
+/** Term of rate leases; 0 before the first configuration. */
+uint64_t lease_control_term_us(const struct lease_control *lc);
+
 /** Handles a WIRE_LEASE message; false if it is malformed. */
 bool lease_control_handle(struct lease_control *lc, const struct wire_in *in, uint64_t token,
 			  uint64_t now_us);
--- a/tests/unit/http_client.c
+++ b/tests/unit/http_client.c
@@ -51,7 +51,7 @@
 	struct http_server_config cfg = {
 		.listen = "127.0.0.1:0", .workers = 8, .keep_alive_ms = 5000};
 	struct http_pool_config pool_cfg = {.max_idle_per_peer = 4,
-					    .max_idle_ms = 2000,
+					    .max_idle_ms = 20000,
 					    .connect_timeout_ms = 500,
 					    .max_body_bytes = 1 << 20};
 	struct br_error err;
@@ -238,3 +238,43 @@
 	http_response_free(&resp);
 	http_server_destroy(other);
 }
+
+static void *post_slow(void *arg)
+{
+	struct http_wait plain = {.timeout_ms = 5000};
+	struct http_response resp;
+	struct br_error err = {0};
+
+	(void)arg;
+	cr_assert_eq(post("/slow", "x", &plain, &resp, &err), 0, "%s", err.detail);
+	http_response_free(&resp);
+	return NULL;
+}
+
+/* After a restart of the peer one request finds its connection dead, not one for each of them. */
+Test(http_client, one_dead_connection_drops_the_others)
+{
+	struct http_server_config cfg = {.listen = address, .workers = 8, .keep_alive_ms = 5000};
+	struct http_wait plain = {.timeout_ms = 2000};
+	pthread_t threads[4];
+	int failed = 0;
+
+	for (int i = 0; i < 4; i++)
+		pthread_create(&threads[i], NULL, post_slow, NULL);
+	for (int i = 0; i < 4; i++)
+		pthread_join(threads[i], NULL);
+	http_server_destroy(srv);
+	srv = http_server_create(&cfg, echo, NULL, NULL);
+	cr_assert(srv);
+	for (int i = 0; i < 6; i++) {
+		struct http_response resp;
+		struct br_error err = {0};
+
+		if (post("/x", "x", &plain, &resp, &err)) {
+			failed++;
+			continue;
+		}
+		http_response_free(&resp);
+	}
+	cr_assert_leq(failed, 1, "%d of 6 requests failed", failed);
+}
