Hold the seeded run of rates to the larger limits within a change

Cause: the reference bucket allowed the sum of old and new limits whenever a change of the burst moved an account to other slots, and granted a larger burst full. It could not see a missing delay of parts that grow.

Change: the run drives the module entitlement as node/lease_control.c does, and the reference allows, within a change, the largest of the versions that leases of punctual holders can be from; a larger burst starts empty. The spread is now as long as the term, as in the daemon (it was 300 ms beside 2 s), and bursts change more often.

When a burst changes back before the first change has settled, a holder had its former part back at once while another one had settled on the limits in between. All limits of the last delay are now the bound. The new unit test fails with the former module. br_entitlement_update returns -ENOMEM when it cannot keep them.

A process that starts after the change and takes a cleanly released slot has no former limits to compare with.

Conclusion: the delay is checked, also for changes in quick succession.

--- a/include/briarreel/entitlement.h
+++ b/include/briarreel/entitlement.h
@@ -22,17 +22,21 @@
 struct br_entitlement;
 
 /**
- * Starts with the limits of an account that this process sees for the first time. delay_us is the
- * time for a change to be in force everywhere plus one lease term. NULL if out of memory.
+ * Starts with the limits of an account that this process sees for the first time; these do not wait.
+ * delay_us is the time for a change to be in force everywhere plus one lease term, which must be at
+ * least as long as that time. NULL if out of memory.
  */
 struct br_entitlement *br_entitlement_create(const char *account,
 					     const struct br_entitlement_limits *limits,
 					     uint64_t delay_us);
 void br_entitlement_destroy(struct br_entitlement *e);
 
-/** Notes the limits in force now; does nothing if they are the same as before. */
-void br_entitlement_update(struct br_entitlement *e, const struct br_entitlement_limits *limits,
-			   uint64_t now_us);
+/**
+ * Notes the limits in force now; does nothing if they are the same as before. Returns 0 or -ENOMEM,
+ * and then still has the former limits.
+ */
+int br_entitlement_update(struct br_entitlement *e, const struct br_entitlement_limits *limits,
+			  uint64_t now_us);
 
 /** Time from which only the latest limits count; in the past if nothing is waiting. */
 uint64_t br_entitlement_settled_us(const struct br_entitlement *e);
--- a/lib/entitlement.c
+++ b/lib/entitlement.c
@@ -1,13 +1,21 @@
 #include "briarreel/entitlement.h"
 
+#include <errno.h>
 #include <stdlib.h>
 
+/** Limits that were replaced, and the time until which other holders may still grant by them. */
+struct former {
+	struct br_entitlement_limits limits;
+	uint64_t until_us;
+};
+
 struct br_entitlement {
 	char account[BR_NAME_BYTES];
 	uint64_t delay_us;
-	/** Limits that were settled when the present change began. */
-	struct br_entitlement_limits before;
 	struct br_entitlement_limits now;
+	/** Oldest first. */
+	struct former *former;
+	size_t n;
 	uint64_t settled_us;
 };
 
@@ -21,26 +29,39 @@
 		return NULL;
 	br_copy_text(e->account, sizeof(e->account), account);
 	e->delay_us = delay_us;
-	e->before = *limits;
 	e->now = *limits;
 	return e;
 }
 
 void br_entitlement_destroy(struct br_entitlement *e)
 {
+	if (!e)
+		return;
+	free(e->former);
 	free(e);
 }
 
-void br_entitlement_update(struct br_entitlement *e, const struct br_entitlement_limits *limits,
-			   uint64_t now_us)
+int br_entitlement_update(struct br_entitlement *e, const struct br_entitlement_limits *limits,
+			  uint64_t now_us)
 {
+	struct former *list;
+	size_t n = 0;
+
 	if (e->now.rate_mtok_s == limits->rate_mtok_s && e->now.burst == limits->burst)
-		return;
-	/* During changes in quick succession the limits that were settled last stay the bound. */
-	if (now_us >= e->settled_us)
-		e->before = e->now;
-	e->now = *limits;
+		return 0;
+	list = calloc(e->n + 1, sizeof(*list));
+	if (!list)
+		return -ENOMEM;
+	for (size_t i = 0; i < e->n; i++)
+		if (now_us < e->former[i].until_us)
+			list[n++] = e->former[i];
 	e->settled_us = now_us + e->delay_us;
+	list[n++] = (struct former){.limits = e->now, .until_us = e->settled_us};
+	free(e->former);
+	e->former = list;
+	e->n = n;
+	e->now = *limits;
+	return 0;
 }
 
 uint64_t br_entitlement_settled_us(const struct br_entitlement *e)
@@ -62,14 +83,21 @@
 					uint32_t n_slots, uint64_t now_us)
 {
 	struct br_slot_part part = part_of(e, &e->now, slot, n_slots);
-	struct br_slot_part before;
 
-	if (now_us >= e->settled_us)
-		return part;
-	before = part_of(e, &e->before, slot, n_slots);
-	if (before.rate_mtok_s < part.rate_mtok_s)
-		part.rate_mtok_s = before.rate_mtok_s;
-	if (before.burst_ntok < part.burst_ntok)
-		part.burst_ntok = before.burst_ntok;
+	/*
+	 * Holders see changes in quick succession at different times, so that any of the limits of
+	 * the last delay can be the one that the others still grant by.
+	 */
+	for (size_t i = 0; i < e->n; i++) {
+		struct br_slot_part before;
+
+		if (now_us >= e->former[i].until_us)
+			continue;
+		before = part_of(e, &e->former[i].limits, slot, n_slots);
+		if (before.rate_mtok_s < part.rate_mtok_s)
+			part.rate_mtok_s = before.rate_mtok_s;
+		if (before.burst_ntok < part.burst_ntok)
+			part.burst_ntok = before.burst_ntok;
+	}
 	return part;
 }
--- a/node/lease_control.c
+++ b/node/lease_control.c
@@ -95,7 +95,8 @@
 		a->next = lc->accounts;
 		lc->accounts = a;
 	}
-	br_entitlement_update(a->entitlement, &limits, now_us);
+	if (br_entitlement_update(a->entitlement, &limits, now_us))
+		abort();
 	return a->entitlement;
 }
 
--- a/tests/random/rates.c
+++ b/tests/random/rates.c
@@ -17,15 +17,20 @@
 	br_grantor_set_valid_until(n->grantor, br_slots_right_until(n->slots));
 	for (int a = 0; a < ACCOUNTS; a++) {
 		const struct rate *r = rate_of(s, n, a);
-		const struct br_slot_set *set = &s->versions[n->version].slots[a];
+		struct br_entitlement_limits limits = {r->rate_mtok_s, r->burst_tokens};
 		struct br_slot_part sum = {0};
 
+		if (!n->entitlements[a])
+			n->entitlements[a] =
+				br_entitlement_create(account_names[a], &limits, GROWTH_DELAY_US);
+		cr_assert(n->entitlements[a]);
+		cr_assert_eq(br_entitlement_update(n->entitlements[a], &limits, now), 0);
 		for (uint32_t i = 0; i < s->n_slots; i++) {
-			struct br_slot_part p = br_slot_part_of(
-				set, i, r->rate_mtok_s, r->burst_tokens * BR_NTOK_PER_TOKEN);
+			struct br_slot_part p;
 
 			if (!br_slots_may_grant(n->slots, i, now))
 				continue;
+			p = br_entitlement_part(n->entitlements[a], i, s->n_slots, now);
 			sum.rate_mtok_s += p.rate_mtok_s;
 			sum.burst_ntok += p.burst_ntok;
 		}
@@ -139,8 +144,11 @@
 		return;
 	br_slots_destroy(n->slots);
 	br_grantor_destroy(n->grantor);
-	for (int a = 0; a < ACCOUNTS; a++)
+	for (int a = 0; a < ACCOUNTS; a++) {
 		br_bucket_destroy(n->buckets[a]);
+		br_entitlement_destroy(n->entitlements[a]);
+		n->entitlements[a] = NULL;
+	}
 	n->alive = false;
 }
 
@@ -270,7 +278,7 @@
 	update_reference(s);
 	for (int a = 0; a < ACCOUNTS; a++) {
 		struct br_bucket_stats sum = {0};
-		uint64_t burst = s->ref[a].rate.burst_tokens * BR_NTOK_PER_TOKEN;
+		const struct br_slot_part *limit = &s->ref[a].limit;
 
 		for (int i = 0; i < s->n_nodes; i++) {
 			struct node *n = &s->nodes[i];
@@ -284,14 +292,14 @@
 			sum.tokens_ntok += st.tokens_ntok;
 			add_reserve(s, n, a, &sum);
 		}
-		if (sum.rate_mtok_s <= s->ref[a].rate.rate_mtok_s && sum.burst_ntok <= burst &&
-		    sum.tokens_ntok <= burst)
+		if (sum.rate_mtok_s <= limit->rate_mtok_s && sum.burst_ntok <= limit->burst_ntok &&
+		    sum.tokens_ntok <= limit->burst_ntok)
 			continue;
 		snprintf(s->failure, sizeof(s->failure),
 			 "account %s at %.6f s: rate %lu of %lu, burst %.3f, tokens %.3f of %.3f",
 			 account_names[a], (double)s->now_us / SEC, (unsigned long)sum.rate_mtok_s,
-			 (unsigned long)s->ref[a].rate.rate_mtok_s, (double)sum.burst_ntok / 1e9,
-			 (double)sum.tokens_ntok / 1e9, (double)burst / 1e9);
+			 (unsigned long)limit->rate_mtok_s, (double)sum.burst_ntok / 1e9,
+			 (double)sum.tokens_ntok / 1e9, (double)limit->burst_ntok / 1e9);
 	}
 }
 
@@ -323,6 +331,7 @@
 	r->incarnation = 0;
 	r->account = e->account;
 	r->holder = e->holder;
+	br_grantor_set_valid_until(n->grantor, br_slots_right_until(n->slots));
 	if (br_grantor_request(n->grantor, &e->req, local(s, n), &r->rep))
 		free_ev(r);
 	else
@@ -377,14 +386,14 @@
 		return;
 	update_reference(s);
 	*v = s->versions[s->n_versions - 1];
-	s->versions[s->n_versions - 1].used_us = s->now_us;
+	s->versions[s->n_versions - 1].replaced_us = s->now_us;
 	v->rate[0].rate_mtok_s = 10000 + rnd(s, 100000);
-	if (!rnd(s, 3))
+	if (rnd(s, 3))
 		v->rate[1].burst_tokens = 2 + rnd(s, 40);
 	split_rates(s, v);
 	s->n_versions++;
 	for (int i = 0; i < s->n_nodes; i++)
-		push(s, make_ev(s, EV_CONFIG, i), s->now_us + rnd(s, 300 * MS));
+		push(s, make_ev(s, EV_CONFIG, i), s->now_us + rnd(s, SPREAD_US));
 	update_reference(s);
 }
 
@@ -402,11 +411,15 @@
 	return (int)rnd(s, (uint64_t)s->n_nodes);
 }
 
+#define KIND_CHANGE (1U << 8)
+
 /* Few kinds of faults in a run let the rate be used up, so that a small excess shows. */
 static void choose_faults(struct sim *s)
 {
 	s->kinds = 1U << rnd(s, 9);
 	s->kinds |= 1U << rnd(s, 9);
+	if (!rnd(s, 3))
+		s->kinds |= KIND_CHANGE;
 	if (!rnd(s, 4))
 		s->kinds = 0x1ff;
 	if (rnd(s, 3) == 0)
@@ -582,7 +595,8 @@
 			r->burst_tokens += 8 * (uint64_t)s->n_nodes;
 		s->demand_mtok_s[a] = faults ? r->rate_mtok_s * (2 + rnd(s, 3))
 					     : r->rate_mtok_s * (50 + rnd(s, 41)) / 100;
-		s->ref[a].rate = *r;
+		s->ref[a].limit =
+			(struct br_slot_part){r->rate_mtok_s, r->burst_tokens * BR_NTOK_PER_TOKEN};
 		s->ref[a].tokens = r->burst_tokens * BR_NTOK_PER_TOKEN;
 		e->account = a;
 		push(s, e, 0);
--- a/tests/random/rates_sim.h
+++ b/tests/random/rates_sim.h
@@ -6,6 +6,7 @@
 #define TESTS_RANDOM_RATES_SIM_H
 
 #include "briarreel/bucket.h"
+#include "briarreel/entitlement.h"
 #include "briarreel/grantor.h"
 #include "briarreel/slot.h"
 
@@ -26,6 +27,13 @@
 #define TTL_US (7 * SEC)
 #define WAIT_US (30 * MS)
 #define VERSIONS_MAX 64
+/*
+ * A change is in force within SPREAD_US on every node that is neither paused nor partitioned; as in
+ * the daemon it is as long as the lease term.
+ */
+#define SPREAD_US (2 * SEC)
+/* Clocks here run up to 1% fast, 20 times more than the daemon's margin allows for. */
+#define GROWTH_DELAY_US ((SPREAD_US + TERM_US) * 102 / 100)
 
 enum ev_kind {
 	EV_TICK,
@@ -88,6 +96,9 @@
 	struct br_slots *slots;
 	struct br_grantor *grantor;
 	struct br_bucket *buckets[ACCOUNTS];
+	struct br_entitlement *entitlements[ACCOUNTS];
+	/* True time of the last lease request: no lease runs longer than a term after it. */
+	uint64_t asked_us[ACCOUNTS];
 };
 
 struct rate {
@@ -98,14 +109,21 @@
 struct version {
 	struct rate rate[ACCOUNTS];
 	struct br_slot_set slots[ACCOUNTS];
-	/* Last true time at which a live node used this version or an older one. */
-	uint64_t used_us;
+	/* True time at which the next version was written. */
+	uint64_t replaced_us;
+};
+
+/* What a holder that has not seen a change may still use in a slot. */
+struct late_part {
+	struct br_slot_part part;
+	uint64_t until_us;
 };
 
 struct reference {
 	uint64_t tokens;
 	uint64_t at_us;
-	struct rate rate;
+	struct br_slot_part limit;
+	struct late_part late[SLOTS_MAX];
 	uint64_t ideal_tokens;
 	uint64_t ideal_at_us;
 };
@@ -360,57 +378,99 @@
 				    &v->slots[a]);
 }
 
+static struct br_slot_part part_in(const struct sim *s, int version, int a, uint32_t slot)
+{
+	const struct version *v = &s->versions[version];
+
+	return br_slot_part_of(&v->slots[a], slot, v->rate[a].rate_mtok_s,
+			       v->rate[a].burst_tokens * BR_NTOK_PER_TOKEN);
+}
+
+static uint64_t larger(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+/*
+ * Notes the slots of holders that have not seen a change in time, because they are paused or
+ * partitioned. They go on with the limits that they know, and so do their leases for one term.
+ */
+static void note_late(struct sim *s, const struct node *n)
+{
+	if (!n->alive || n->version == s->n_versions - 1 ||
+	    s->now_us <= s->versions[n->version].replaced_us + SPREAD_US)
+		return;
+	for (uint32_t k = 0; k < s->n_slots; k++) {
+		if (!br_slots_may_grant(n->slots, k, local(s, n)))
+			continue;
+		for (int a = 0; a < ACCOUNTS; a++) {
+			struct late_part *l = &s->ref[a].late[k];
+			struct br_slot_part p = part_in(s, n->version, a, k);
+
+			if (s->now_us >= l->until_us)
+				l->part = (struct br_slot_part){0};
+			l->part.rate_mtok_s = larger(l->part.rate_mtok_s, p.rate_mtok_s);
+			l->part.burst_ntok = larger(l->part.burst_ntok, p.burst_ntok);
+			l->until_us = s->now_us + TERM_US * 11 / 10;
+		}
+	}
+}
+
+/* A version's limits, with the larger parts of late holders in place of its own. */
+static struct br_slot_part limit_of(const struct sim *s, int version, int a)
+{
+	const struct rate *r = &s->versions[version].rate[a];
+	struct br_slot_part out = {.rate_mtok_s = r->rate_mtok_s,
+				   .burst_ntok = r->burst_tokens * BR_NTOK_PER_TOKEN};
+
+	for (uint32_t k = 0; k < s->n_slots; k++) {
+		const struct late_part *l = &s->ref[a].late[k];
+		struct br_slot_part p = part_in(s, version, a, k);
+
+		if (s->now_us >= l->until_us)
+			continue;
+		out.rate_mtok_s += larger(l->part.rate_mtok_s, p.rate_mtok_s) - p.rate_mtok_s;
+		out.burst_ntok += larger(l->part.burst_ntok, p.burst_ntok) - p.burst_ntok;
+	}
+	return out;
+}
+
 /*
- * The rate that the fleet may use now. While nodes use several versions it is their maximum, or
- * their sum if the split over slots differs, because then the parts are not comparable.
+ * The most that the fleet may use now: the largest of the versions that leases of holders that
+ * see changes in time can be from.
  */
-static struct rate allowed(const struct sim *s, int a)
+static struct br_slot_part allowed(const struct sim *s, int a)
 {
-	struct rate out = {0};
-	uint32_t slots = 0;
+	struct br_slot_part out = {0};
 
 	for (int v = 0; v < s->n_versions; v++) {
-		const struct rate *r = &s->versions[v].rate[a];
-		uint32_t count = br_slot_set_count(&s->versions[v].slots[a]);
+		struct br_slot_part p;
 
-		if (v < s->n_versions - 1 && s->now_us > s->versions[v].used_us + TERM_US * 11 / 10)
+		if (v < s->n_versions - 1 &&
+		    s->now_us > s->versions[v].replaced_us + SPREAD_US + TERM_US)
 			continue;
-		if (slots && slots != count) {
-			out.rate_mtok_s += r->rate_mtok_s;
-			out.burst_tokens += r->burst_tokens;
-			continue;
-		}
-		slots = count;
-		if (r->rate_mtok_s > out.rate_mtok_s)
-			out.rate_mtok_s = r->rate_mtok_s;
-		if (r->burst_tokens > out.burst_tokens)
-			out.burst_tokens = r->burst_tokens;
+		p = limit_of(s, v, a);
+		out.rate_mtok_s = larger(out.rate_mtok_s, p.rate_mtok_s);
+		out.burst_ntok = larger(out.burst_ntok, p.burst_ntok);
 	}
 	return out;
 }
 
-/* Adds what the reference mints up to now, then takes over a changed rate. */
+/* Adds what the reference mints up to now, then takes over changed limits. */
 static void update_reference(struct sim *s)
 {
-	for (int v = 0; v < s->n_versions - 1; v++) {
-		for (int i = 0; i < s->n_nodes; i++) {
-			if (s->nodes[i].alive && s->nodes[i].version <= v)
-				s->versions[v].used_us = s->now_us;
-		}
-	}
+	for (int i = 0; i < s->n_nodes; i++)
+		note_late(s, &s->nodes[i]);
 	for (int a = 0; a < ACCOUNTS; a++) {
 		struct reference *r = &s->ref[a];
-		struct rate now = allowed(s, a);
-		uint64_t cap = r->rate.burst_tokens * BR_NTOK_PER_TOKEN;
+		uint64_t cap = r->limit.burst_ntok;
 
-		r->tokens += br_mint_ntok(r->rate.rate_mtok_s, s->now_us - r->at_us,
+		r->tokens += br_mint_ntok(r->limit.rate_mtok_s, s->now_us - r->at_us,
 					  cap > r->tokens ? cap - r->tokens : 0);
 		r->at_us = s->now_us;
-		/* A larger burst may be full already: parts of both versions can be in use. */
-		if (now.burst_tokens > r->rate.burst_tokens)
-			r->tokens += (now.burst_tokens - r->rate.burst_tokens) * BR_NTOK_PER_TOKEN;
-		r->rate = now;
-		cap = now.burst_tokens * BR_NTOK_PER_TOKEN;
+		/* A larger burst brings no tokens: parts that grow start empty. */
+		r->limit = allowed(s, a);
+		cap = r->limit.burst_ntok;
 		r->tokens = r->tokens < cap ? r->tokens : cap;
 	}
 }
--- a/tests/unit/entitlement.c
+++ b/tests/unit/entitlement.c
@@ -78,3 +78,40 @@
 	cr_assert_eq(br_entitlement_part(e, 0, SLOTS, 10).rate_mtok_s, 500);
 	br_entitlement_destroy(e);
 }
+
+/*
+ * A burst that changes and changes back before the first change has settled everywhere. The account
+ * moves between disjoint slots; a holder whose part was taken away must not have it back at once,
+ * because another holder may have settled on the limits in between.
+ */
+Test(entitlement, a_change_back_waits_as_well)
+{
+	struct br_entitlement_limits one = {.rate_mtok_s = 24000, .burst = 2};
+	struct br_entitlement_limits all = {.rate_mtok_s = 24000, .burst = 48};
+	struct br_entitlement *late = br_entitlement_create("acct", &one, DELAY_US);
+	struct br_entitlement *early = br_entitlement_create("acct", &one, DELAY_US);
+	struct br_slot_set set;
+	uint32_t slot = 0;
+	uint64_t now_us;
+
+	br_slots_of_account("acct", one.burst, SLOTS, &set);
+	while (!br_slot_set_has(&set, slot))
+		slot++;
+	br_entitlement_update(early, &all, 0);
+	br_entitlement_update(late, &all, 4 * BR_US_PER_S);
+	/* The change back is made just before the early holder settles, and reaches it later. */
+	br_entitlement_update(late, &one, DELAY_US);
+	for (now_us = DELAY_US; now_us < DELAY_US + 4 * BR_US_PER_S; now_us += BR_US_PER_S) {
+		struct br_slot_part sum = br_entitlement_part(late, slot, SLOTS, now_us);
+
+		for (uint32_t i = 0; i < SLOTS; i++)
+			if (i != slot)
+				sum.rate_mtok_s +=
+					br_entitlement_part(early, i, SLOTS, now_us).rate_mtok_s;
+		cr_assert_leq(sum.rate_mtok_s, one.rate_mtok_s);
+	}
+	cr_assert_eq(br_entitlement_part(late, slot, SLOTS, 2 * DELAY_US).rate_mtok_s,
+		     one.rate_mtok_s);
+	br_entitlement_destroy(late);
+	br_entitlement_destroy(early);
+}
