Check the second reading of the clock in the seeded run of rates

Cause: the run repeated the reading after a pause, but admissions from ended leases stayed within the reference bucket, which the unused part of the paused node's lease had filled.

Change: every debit goes through the rule of node/rates.c, and an admission later than one term after the last lease request before the debit fails the run. The bound is kept in true time and is independent of the bucket's own value.

Ruled out: a larger number of debits per pause. With the reference as the only check the excess would still be hidden by the unused rate.

--- a/tests/random/rates.c
+++ b/tests/random/rates.c
@@ -61,6 +61,7 @@
 		e->account = a;
 		e->holder = out[k];
 		br_bucket_make_request(n->buckets[a], &out[k], local(s, n), &e->req);
+		n->asked_us[a] = s->now_us;
 		send_msg(s, e, i);
 	}
 }
@@ -197,6 +198,23 @@
 		s->admitted[a]++;
 }
 
+/*
+ * The second look at the clock after a debit, as node/rates.c takes it. A node counts a lease from
+ * before it sent the request, so no token is of use for longer than a term after the last request
+ * before the debit (lease_until_us, in true time).
+ */
+static void confirm(struct sim *s, int i, int a, uint64_t valid_until_us, uint64_t lease_until_us)
+{
+	if (local(s, &s->nodes[i]) >= valid_until_us)
+		return;
+	if (s->now_us > lease_until_us && !s->failure[0])
+		snprintf(s->failure, sizeof(s->failure),
+			 "account %s: node %d admitted at %.6f s, its lease ended by %.6f s",
+			 account_names[a], i, (double)s->now_us / SEC,
+			 (double)lease_until_us / SEC);
+	admit(s, i, a);
+}
+
 static void try_take(struct sim *s, int i, int a, bool first, uint64_t deadline_us)
 {
 	struct node *n = &s->nodes[i];
@@ -206,13 +224,14 @@
 
 	if (rc == 0) {
 		if (!s->faults || rnd(s, 500)) {
-			admit(s, i, a);
+			confirm(s, i, a, valid, n->asked_us[a] + TERM_US);
 			return;
 		}
 		/* The process is paused between the debit and the second look at the clock. */
 		n->paused_until_us = s->now_us + rnd(s, 3 * TERM_US);
 		e = make_ev(s, EV_CONFIRM, i);
 		e->time_us = valid;
+		e->lease_until_us = n->asked_us[a] + TERM_US;
 		e->account = a;
 		push(s, e, n->paused_until_us);
 		return;
@@ -520,8 +539,7 @@
 		try_take(s, e->node, a, false, e->time_us);
 		break;
 	case EV_CONFIRM:
-		if (local(s, n) < e->time_us)
-			admit(s, e->node, a);
+		confirm(s, e->node, a, e->time_us, e->lease_until_us);
 		break;
 	case EV_REQ:
 		on_req(s, e);
--- a/tests/random/rates_sim.h
+++ b/tests/random/rates_sim.h
@@ -69,6 +69,7 @@
 	int peer;
 	int account;
 	uint64_t time_us;
+	uint64_t lease_until_us;
 	struct br_bucket_holder holder;
 	struct br_lease_req req;
 	struct br_lease_rep rep;
