Keep the pool of unleased rate while wants overlap for moments

The pool was then empty; a node that ran short was refused while others had 3 to 5 tokens each, some of them lost at full buckets.

Ruled out: a reference that starts full. It starts empty and has 55 of 96 tokens at 9.2 s; the refusals are real.

Change: only an excess of wants that lasts for 1 s counts. The bound and the reference of the test are as before. A unit test guards both directions; it fails with the former grantor and with an excess that is never forgotten.

--- a/lib/grantor.c
+++ b/lib/grantor.c
@@ -18,10 +18,14 @@
  * Rate that is not leased. Its tokens gather in the reserve, where any node that runs short finds
  * them; small rates profit most from this pooling, so they keep up to half. When nodes want clearly
  * more than there is, the pool would favour the quickest, so nearly all is leased, by fair level.
+ * Wants overlap, as nodes ask several holders for the same need: at 0.9 of the rate they exceed the
+ * threshold for moments, so that only a lasting excess counts.
  */
 #define FREE_RATE_DIV 16
 #define FREE_RATE_MTOK_S (4 * BR_MTOK_PER_TOKEN)
 #define FREE_RATE_OVERLOAD_DIV 64
+#define OVERLOAD_WANTS 3
+#define OVERLOAD_US (1 * BR_US_PER_S)
 
 struct amount {
 	uint64_t rate;
@@ -59,6 +63,8 @@
 	uint64_t next_end_us;
 	struct amount level;
 	uint64_t level_us;
+	/* Time since which the wants exceed OVERLOAD_WANTS times the rate; 0 if they do not. */
+	uint64_t overload_us;
 	/* What leases do not grow into. */
 	struct amount spare;
 };
@@ -359,7 +365,7 @@
 	return max_u64(BR_NTOK_PER_TOKEN, a->ent.burst / FREE_BURST_DIV);
 }
 
-static uint64_t spare_rate(const struct account *a)
+static uint64_t spare_rate(struct account *a, uint64_t now_us)
 {
 	uint64_t rate = a->ent.rate;
 	uint64_t want = 0;
@@ -368,8 +374,11 @@
 		for (const struct lease *l = a->heads[h]; l; l = l->next)
 			want += min_u64(l->want.rate, rate);
 	}
-	/* Wants overlap, as nodes ask several holders for the same need. */
-	if (want > 3 * rate)
+	if (want <= OVERLOAD_WANTS * rate)
+		a->overload_us = 0;
+	else if (!a->overload_us)
+		a->overload_us = now_us;
+	if (a->overload_us && now_us - a->overload_us >= OVERLOAD_US)
 		return rate / FREE_RATE_OVERLOAD_DIV;
 	return min_u64(rate / 2, rate / FREE_RATE_DIV + FREE_RATE_MTOK_S);
 }
@@ -378,7 +387,7 @@
 {
 	if (a->n > LEVEL_LEASES && a->level_us && now_us < a->level_us + LEVEL_US)
 		return;
-	a->spare = (struct amount){.rate = spare_rate(a), .burst = spare_burst(a)};
+	a->spare = (struct amount){.rate = spare_rate(a, now_us), .burst = spare_burst(a)};
 	a->level.rate = fair_level(a, a->ent.rate - a->spare.rate, false);
 	a->level.burst = fair_level(a, a->ent.burst - a->spare.burst, true);
 	a->level_us = now_us;
--- a/tests/unit/grantor.c
+++ b/tests/unit/grantor.c
@@ -218,6 +218,48 @@
 	br_grantor_destroy(g);
 }
 
+/* Four nodes that want the whole rate each, from from_us to to_us; returns what is leased. */
+static uint64_t crowd(struct br_grantor *g, struct br_lease_rep rep[4], uint64_t from_us,
+		      uint64_t to_us)
+{
+	uint64_t leased = 0;
+
+	for (uint64_t now_us = from_us; now_us <= to_us; now_us += SEC / 10) {
+		for (int i = 0; i < 4; i++) {
+			struct br_lease_req req = request(i, now_us, 100000, 50);
+
+			req.keep_rate_mtok_s = rep[i].rate_mtok_s;
+			req.keep_burst_ntok = rep[i].burst_ntok;
+			rep[i] = ask(g, &req, now_us);
+		}
+	}
+	for (int i = 0; i < 4; i++)
+		leased += rep[i].rate_mtok_s;
+	return leased;
+}
+
+/*
+ * Wants of several nodes overlap for moments without overload. If that emptied the pool, nodes that
+ * run short would be refused while the tokens gather unused at others.
+ */
+Test(grantor, a_short_excess_of_wants_leaves_the_pool)
+{
+	struct br_grantor *g = make(100000, 200, 0);
+	struct br_lease_rep rep[4] = {0};
+
+	cr_assert_leq(crowd(g, rep, SEC, SEC + SEC * 9 / 10), 89750);
+	for (int i = 0; i < 2; i++) {
+		struct br_lease_req less = request(i, 2 * SEC - 1, 10000, 50);
+
+		less.keep_rate_mtok_s = 10000;
+		less.keep_burst_ntok = rep[i].burst_ntok;
+		rep[i] = ask(g, &less, 2 * SEC - 1);
+	}
+	cr_assert_leq(crowd(g, rep, 2 * SEC, 2 * SEC + SEC * 9 / 10), 89750);
+	cr_assert_geq(crowd(g, rep, 3 * SEC, 4 * SEC), 98400, "a lasting excess");
+	br_grantor_destroy(g);
+}
+
 /* With fewer tokens than nodes, a lease has one whole token or none, and nodes take turns. */
 Test(grantor, small_bursts_stay_whole)
 {
