Test that an overloaded node starts nothing that would end late

Cause: switching off the time that a request needs besides its wait, or the check before the start of a queued request, failed no test.

Ruled out: the check on arrival by the wait alone and the expiry of queued entries; the unit tests catch these already.

Change: one unit test of admission, on arrival and before the start.

Conclusion: each part of the deadline refusal has a test.

--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -163,6 +163,37 @@
 	finish();
 }
 
+/*
+ * Guards against work for answers that come too late: while overloaded, half the account's mean
+ * service time must be left, on arrival after the wait and again before the start.
+ */
+Test(admission, overloaded_node_starts_nothing_that_would_end_late)
+{
+	uint64_t now_us = NOW;
+
+	setup_limit(1, 32, BR_ORDER_OLDEST);
+	offer(0, 1, 3, now_us);
+	done(0, 10000, now_us);
+	cr_assert_eq(offer(0, 1, 3, now_us), BR_ADMISSION_RUN);
+	cr_assert_eq(offer(1, 1, 3, now_us), BR_ADMISSION_QUEUED);
+	for (; now_us < NOW + BR_US_PER_S / 2; now_us += 10 * BR_US_PER_MS)
+		br_admission_tick(f.a, now_us);
+	cr_assert(br_admission_overloaded(f.a));
+	/* One request of 10 ms is ahead. */
+	f.e[2].deadline_us = now_us + 14 * BR_US_PER_MS;
+	cr_assert_eq(offer(2, 1, 0, now_us), BR_ADMISSION_REFUSED);
+	cr_assert_eq(f.e[2].reason, BR_ADMISSION_LATE);
+	f.e[3].deadline_us = now_us + 20 * BR_US_PER_MS;
+	cr_assert_eq(offer(3, 1, 0, now_us), BR_ADMISSION_QUEUED);
+	now_us += 16 * BR_US_PER_MS;
+	done(0, 0, now_us);
+	cr_assert_eq(next(now_us), 1);
+	cr_assert_eq(f.last_dropped, 3);
+	cr_assert_eq(f.last_reason, BR_ADMISSION_EXPIRED);
+	done(1, 0, now_us);
+	finish();
+}
+
 /* Guards against starting work beyond a limit that has shrunk. */
 Test(admission, follows_a_changed_limit)
 {
