--- a/include/briarreel/registrar.h
+++ b/include/briarreel/registrar.h
@@ -3,7 +3,7 @@
  * Request ids claimed at a slot holder, so that one attempt runs for each id over the whole fleet.
  *
  * The module does not know whether this node may still act for a slot: the caller asks
- * br_slots_may_grant() before each claim and calls br_registrar_drop() when the slot is lost.
+ * br_slots_may_register() before each claim and calls br_registrar_drop() when the slot is lost.
  * Not thread-safe. Memory: 176 bytes for each claim of a UUID.
  */
 #ifndef BRIARREEL_REGISTRAR_H
--- a/include/briarreel/slot.h
+++ b/include/briarreel/slot.h
@@ -117,6 +117,13 @@
 	uint64_t ttl_us;
 	/** Term of the rate leases given to nodes (lease_term_ms). */
 	uint64_t lease_term_us;
+	/**
+	 * Age below which a process does not grant from a slot that was released cleanly: the time
+	 * for a configuration change to be in force everywhere plus one lease term. A young process
+	 * does not know the limits before a recent change, so it could grant its larger part while
+	 * others still grant theirs of before.
+	 */
+	uint64_t settle_us;
 };
 
 struct br_slots;
@@ -147,6 +154,12 @@
  */
 bool br_slots_may_grant(const struct br_slots *s, uint32_t slot, uint64_t now_us);
 
+/**
+ * True if this node may act as the registrar of a slot at now_us: as br_slots_may_grant(), without
+ * the wait of a young process, since claims do not depend on the limits of accounts.
+ */
+bool br_slots_may_register(const struct br_slots *s, uint32_t slot, uint64_t now_us);
+
 /** True if this node holds a slot at now_us, though it may still have to wait before it grants. */
 bool br_slots_holds(const struct br_slots *s, uint32_t slot, uint64_t now_us);
 
--- a/lib/slot.c
+++ b/lib/slot.c
@@ -57,6 +57,11 @@
 	return br_slots_holds(s, slot, now_us) && now_us >= s->slots[slot].grant_from_us;
 }
 
+bool br_slots_may_register(const struct br_slots *s, uint32_t slot, uint64_t now_us)
+{
+	return br_slots_holds(s, slot, now_us) && now_us >= s->slots[slot].register_from_us;
+}
+
 uint64_t br_slots_right_until(const struct br_slots *s)
 {
 	return s->lease_id ? s->right_until_us : 0;
@@ -396,6 +401,8 @@
 bool br_slots_tick(struct br_slots *s, const struct br_slot_view *view, uint64_t now_us,
 		   struct br_slot_op *op)
 {
+	if (!s->born_us)
+		s->born_us = now_us;
 	if (now_us >= s->scan_us) {
 		scan(s, view, now_us);
 		s->scan_us = now_us + SCAN_US;
@@ -426,7 +433,10 @@
 	sl->since_us = now_us;
 	sl->former = sl->key;
 	/* Rate leases that the former holder gave out end within one term. */
-	sl->grant_from_us = sl->clean ? now_us : now_us + term_with_margin(s);
+	sl->register_from_us = sl->clean ? now_us : now_us + term_with_margin(s);
+	sl->grant_from_us = sl->register_from_us;
+	if (sl->clean && now_us < s->born_us + s->cfg.settle_us)
+		sl->grant_from_us = s->born_us + s->cfg.settle_us;
 	sl->entry = sl->wrote;
 	sl->rival_epoch = 0;
 	sl->takeable_us = 0;
--- a/lib/slot_private.h
+++ b/lib/slot_private.h
@@ -39,6 +39,7 @@
 	uint64_t lease_id;
 	uint64_t since_us;
 	uint64_t grant_from_us;
+	uint64_t register_from_us;
 	/* Value of the key before this tenure; epoch 0 if it was absent. */
 	struct br_slot_holder former;
 	uint64_t release_us;
@@ -63,6 +64,8 @@
 	uint64_t lease_id;
 	uint64_t right_until_us;
 	uint64_t renew_us;
+	/** Time of the first tick. */
+	uint64_t born_us;
 	bool lease_busy;
 	bool drop_tried;
 	/* The answer to a write under the lease was lost, so its effect may still appear. */
--- a/node/claim_slots.c
+++ b/node/claim_slots.c
@@ -259,7 +259,7 @@
 		/* Also if this node never comes to act, its older claims are not the whole. */
 		if (present && sl->since_us != t.since_us && !continues(cs, sl, &t))
 			forget_slot(cs, i);
-		if (!present || !br_slots_may_grant(slots, i, now_us))
+		if (!present || !br_slots_may_register(slots, i, now_us))
 			leave_slot(cs, i, br_slots_releasing(slots, i), now_us);
 		else if (sl->state == SLOT_NOT_HELD || sl->state == SLOT_CLOSED)
 			take_slot(cs, i, &t, now_us);
--- a/node/control.h
+++ b/node/control.h
@@ -10,6 +10,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/** A change of configuration is in force on every node within this time. */
+#define CONTROL_CHANGE_SPREAD_US 4000000ULL
+
 struct br_error;
 struct control;
 struct node;
--- a/node/lease_control.c
+++ b/node/lease_control.c
@@ -21,8 +21,6 @@
 /* NTP keeps the clock rates of VMs within 500 ppm of each other. */
 #define CLOCK_RATE_MARGIN_PPM 500
 
-/* A change of configuration is in force on every node within this time. */
-#define CHANGE_SPREAD_US (4 * BR_US_PER_S)
 
 /** An account that this node may grant from. */
 struct account_entry {
@@ -89,13 +87,14 @@
 			abort();
 		br_copy_text(a->name, sizeof(a->name), rec->name);
 		a->entitlement =
-			br_entitlement_create(rec->name, &limits, CHANGE_SPREAD_US + lc->term_us);
+			br_entitlement_create(rec->name, &limits, CONTROL_CHANGE_SPREAD_US + lc->term_us);
 		if (!a->entitlement)
 			abort();
 		a->next = lc->accounts;
 		lc->accounts = a;
 	}
-	br_entitlement_update(a->entitlement, &limits, now_us);
+	if (br_entitlement_update(a->entitlement, &limits, now_us))
+		abort();
 	return a->entitlement;
 }
 
--- a/node/slot_control.c
+++ b/node/slot_control.c
@@ -30,6 +30,8 @@
 	uint64_t ttl_us;
 	uint64_t published_digest;
 	struct slot_map map;
+	/** Slots from which this node may grant rate leases. */
+	bool grants[BR_SLOTS_MAX];
 	struct br_slot_member *members;
 };
 
@@ -205,6 +207,7 @@
 				      .lease_term_us =
 					      (uint64_t)mesh->lease_term_ms * BR_US_PER_MS};
 
+	cfg.settle_us = CONTROL_CHANGE_SPREAD_US + cfg.lease_term_us;
 	if (sc->slots) {
 		/* Another count would give the same slot a different part of each rate. */
 		if (mesh->share_slots != sc->n_slots)
@@ -225,6 +228,7 @@
 {
 	struct slot_map map = {.n_slots = sc->n_slots,
 			       .own_until_us = br_slots_right_until(sc->slots)};
+	bool grants[BR_SLOTS_MAX] = {false};
 	bool changed;
 
 	for (uint32_t i = 0; i < sc->n_slots; i++) {
@@ -232,12 +236,15 @@
 
 		if (h)
 			map.holders[i] = *h;
-		map.own[i] = br_slots_may_grant(sc->slots, i, now_us);
+		map.own[i] = br_slots_may_register(sc->slots, i, now_us);
+		grants[i] = br_slots_may_grant(sc->slots, i, now_us);
 	}
-	changed = memcmp(map.own, sc->map.own, sizeof(map.own)) != 0 ||
+	changed = memcmp(grants, sc->grants, sizeof(grants)) != 0 ||
+		  memcmp(map.own, sc->map.own, sizeof(map.own)) != 0 ||
 		  br_slots_digest(sc->slots) != sc->published_digest || !sc->map.n_slots;
 	sc->published_digest = br_slots_digest(sc->slots);
 	sc->map = map;
+	memcpy(sc->grants, grants, sizeof(grants));
 	blackboard_set_slots(control_node(sc->ctl)->board, &map);
 	if (!changed)
 		return;
--- a/tests/random/rates.c
+++ b/tests/random/rates.c
@@ -17,15 +17,20 @@
 	br_grantor_set_valid_until(n->grantor, br_slots_right_until(n->slots));
 	for (int a = 0; a < ACCOUNTS; a++) {
 		const struct rate *r = rate_of(s, n, a);
-		const struct br_slot_set *set = &s->versions[n->version].slots[a];
+		struct br_entitlement_limits limits = {r->rate_mtok_s, r->burst_tokens};
 		struct br_slot_part sum = {0};
 
+		if (!n->entitlements[a])
+			n->entitlements[a] =
+				br_entitlement_create(account_names[a], &limits, GROWTH_DELAY_US);
+		cr_assert(n->entitlements[a]);
+		cr_assert_eq(br_entitlement_update(n->entitlements[a], &limits, now), 0);
 		for (uint32_t i = 0; i < s->n_slots; i++) {
-			struct br_slot_part p = br_slot_part_of(
-				set, i, r->rate_mtok_s, r->burst_tokens * BR_NTOK_PER_TOKEN);
+			struct br_slot_part p;
 
 			if (!br_slots_may_grant(n->slots, i, now))
 				continue;
+			p = br_entitlement_part(n->entitlements[a], i, s->n_slots, now);
 			sum.rate_mtok_s += p.rate_mtok_s;
 			sum.burst_ntok += p.burst_ntok;
 		}
@@ -56,6 +61,7 @@
 		e->account = a;
 		e->holder = out[k];
 		br_bucket_make_request(n->buckets[a], &out[k], local(s, n), &e->req);
+		n->asked_us[a] = s->now_us;
 		send_msg(s, e, i);
 	}
 }
@@ -139,15 +145,19 @@
 		return;
 	br_slots_destroy(n->slots);
 	br_grantor_destroy(n->grantor);
-	for (int a = 0; a < ACCOUNTS; a++)
+	for (int a = 0; a < ACCOUNTS; a++) {
 		br_bucket_destroy(n->buckets[a]);
+		br_entitlement_destroy(n->entitlements[a]);
+		n->entitlements[a] = NULL;
+	}
 	n->alive = false;
 }
 
 static void start_node(struct sim *s, int i)
 {
 	struct node *n = &s->nodes[i];
-	struct br_slots_config sc = {.ttl_us = TTL_US, .lease_term_us = TERM_US};
+	struct br_slots_config sc = {
+		.ttl_us = TTL_US, .lease_term_us = TERM_US, .settle_us = GROWTH_DELAY_US};
 	struct br_grantor_config gc = {.lease_term_us = TERM_US,
 				       .rate_margin_ppm = BR_GRANTOR_RATE_MARGIN_PPM};
 
@@ -189,6 +199,23 @@
 		s->admitted[a]++;
 }
 
+/*
+ * The second look at the clock after a debit, as node/rates.c takes it. A node counts a lease from
+ * before it sent the request, so no token is of use for longer than a term after the last request
+ * before the debit (lease_until_us, in true time).
+ */
+static void confirm(struct sim *s, int i, int a, uint64_t valid_until_us, uint64_t lease_until_us)
+{
+	if (local(s, &s->nodes[i]) >= valid_until_us)
+		return;
+	if (s->now_us > lease_until_us && !s->failure[0])
+		snprintf(s->failure, sizeof(s->failure),
+			 "account %s: node %d admitted at %.6f s, its lease ended by %.6f s",
+			 account_names[a], i, (double)s->now_us / SEC,
+			 (double)lease_until_us / SEC);
+	admit(s, i, a);
+}
+
 static void try_take(struct sim *s, int i, int a, bool first, uint64_t deadline_us)
 {
 	struct node *n = &s->nodes[i];
@@ -198,13 +225,14 @@
 
 	if (rc == 0) {
 		if (!s->faults || rnd(s, 500)) {
-			admit(s, i, a);
+			confirm(s, i, a, valid, n->asked_us[a] + TERM_US);
 			return;
 		}
 		/* The process is paused between the debit and the second look at the clock. */
 		n->paused_until_us = s->now_us + rnd(s, 3 * TERM_US);
 		e = make_ev(s, EV_CONFIRM, i);
 		e->time_us = valid;
+		e->lease_until_us = n->asked_us[a] + TERM_US;
 		e->account = a;
 		push(s, e, n->paused_until_us);
 		return;
@@ -270,7 +298,7 @@
 	update_reference(s);
 	for (int a = 0; a < ACCOUNTS; a++) {
 		struct br_bucket_stats sum = {0};
-		uint64_t burst = s->ref[a].rate.burst_tokens * BR_NTOK_PER_TOKEN;
+		const struct br_slot_part *limit = &s->ref[a].limit;
 
 		for (int i = 0; i < s->n_nodes; i++) {
 			struct node *n = &s->nodes[i];
@@ -284,14 +312,14 @@
 			sum.tokens_ntok += st.tokens_ntok;
 			add_reserve(s, n, a, &sum);
 		}
-		if (sum.rate_mtok_s <= s->ref[a].rate.rate_mtok_s && sum.burst_ntok <= burst &&
-		    sum.tokens_ntok <= burst)
+		if (sum.rate_mtok_s <= limit->rate_mtok_s && sum.burst_ntok <= limit->burst_ntok &&
+		    sum.tokens_ntok <= limit->burst_ntok)
 			continue;
 		snprintf(s->failure, sizeof(s->failure),
 			 "account %s at %.6f s: rate %lu of %lu, burst %.3f, tokens %.3f of %.3f",
 			 account_names[a], (double)s->now_us / SEC, (unsigned long)sum.rate_mtok_s,
-			 (unsigned long)s->ref[a].rate.rate_mtok_s, (double)sum.burst_ntok / 1e9,
-			 (double)sum.tokens_ntok / 1e9, (double)burst / 1e9);
+			 (unsigned long)limit->rate_mtok_s, (double)sum.burst_ntok / 1e9,
+			 (double)sum.tokens_ntok / 1e9, (double)limit->burst_ntok / 1e9);
 	}
 }
 
@@ -323,6 +351,7 @@
 	r->incarnation = 0;
 	r->account = e->account;
 	r->holder = e->holder;
+	br_grantor_set_valid_until(n->grantor, br_slots_right_until(n->slots));
 	if (br_grantor_request(n->grantor, &e->req, local(s, n), &r->rep))
 		free_ev(r);
 	else
@@ -377,14 +406,14 @@
 		return;
 	update_reference(s);
 	*v = s->versions[s->n_versions - 1];
-	s->versions[s->n_versions - 1].used_us = s->now_us;
+	s->versions[s->n_versions - 1].replaced_us = s->now_us;
 	v->rate[0].rate_mtok_s = 10000 + rnd(s, 100000);
-	if (!rnd(s, 3))
+	if (rnd(s, 3))
 		v->rate[1].burst_tokens = 2 + rnd(s, 40);
 	split_rates(s, v);
 	s->n_versions++;
 	for (int i = 0; i < s->n_nodes; i++)
-		push(s, make_ev(s, EV_CONFIG, i), s->now_us + rnd(s, 300 * MS));
+		push(s, make_ev(s, EV_CONFIG, i), s->now_us + rnd(s, SPREAD_US));
 	update_reference(s);
 }
 
@@ -402,11 +431,15 @@
 	return (int)rnd(s, (uint64_t)s->n_nodes);
 }
 
+#define KIND_CHANGE (1U << 8)
+
 /* Few kinds of faults in a run let the rate be used up, so that a small excess shows. */
 static void choose_faults(struct sim *s)
 {
 	s->kinds = 1U << rnd(s, 9);
 	s->kinds |= 1U << rnd(s, 9);
+	if (!rnd(s, 3))
+		s->kinds |= KIND_CHANGE;
 	if (!rnd(s, 4))
 		s->kinds = 0x1ff;
 	if (rnd(s, 3) == 0)
@@ -507,8 +540,7 @@
 		try_take(s, e->node, a, false, e->time_us);
 		break;
 	case EV_CONFIRM:
-		if (local(s, n) < e->time_us)
-			admit(s, e->node, a);
+		confirm(s, e->node, a, e->time_us, e->lease_until_us);
 		break;
 	case EV_REQ:
 		on_req(s, e);
@@ -582,7 +614,8 @@
 			r->burst_tokens += 8 * (uint64_t)s->n_nodes;
 		s->demand_mtok_s[a] = faults ? r->rate_mtok_s * (2 + rnd(s, 3))
 					     : r->rate_mtok_s * (50 + rnd(s, 41)) / 100;
-		s->ref[a].rate = *r;
+		s->ref[a].limit =
+			(struct br_slot_part){r->rate_mtok_s, r->burst_tokens * BR_NTOK_PER_TOKEN};
 		s->ref[a].tokens = r->burst_tokens * BR_NTOK_PER_TOKEN;
 		e->account = a;
 		push(s, e, 0);
--- a/tests/unit/slot.c
+++ b/tests/unit/slot.c
@@ -28,13 +28,14 @@
 	m->incarnation = incarnation;
 }
 
-static void setup(struct fixture *f, uint32_t n_slots)
+static void setup_settling(struct fixture *f, uint32_t n_slots, uint64_t settle_us)
 {
 	struct br_slots_config cfg = {.self.text = "10.0.0.1:7000",
 				      .incarnation = 9,
 				      .zone = "a",
 				      .ttl_us = TTL,
-				      .lease_term_us = TERM};
+				      .lease_term_us = TERM,
+				      .settle_us = settle_us};
 
 	memset(f, 0, sizeof(*f));
 	f->now = 1000;
@@ -44,6 +45,11 @@
 	add_member(f, "10.0.0.1:7000", 9, "a");
 }
 
+static void setup(struct fixture *f, uint32_t n_slots)
+{
+	setup_settling(f, n_slots, 0);
+}
+
 /* Ticks for up to a time until an operation comes. */
 static struct br_slot_op next_op(struct fixture *f, uint64_t limit_us)
 {
@@ -124,6 +130,26 @@
 	}
 }
 
+/*
+ * A young process does not know the limits before a recent change. Without the wait it granted its
+ * larger part while other holders still granted theirs of before (seeds 691 and 807 of rates).
+ */
+Test(slot, young_process_waits_with_a_released_slot)
+{
+	struct fixture f;
+	struct br_slot_op op;
+	uint64_t born;
+
+	setup_settling(&f, 1, 8 * SEC);
+	born = f.now;
+	up_to_claim(&f, released, &op);
+	answer(&f, &op, BR_SLOT_OK, 6, NULL);
+	cr_assert(br_slots_may_register(f.s, 0, f.now));
+	cr_assert_not(br_slots_may_grant(f.s, 0, born + 8 * SEC - 1));
+	cr_assert(br_slots_may_grant(f.s, 0, born + 8 * SEC + SEC));
+	br_slots_destroy(f.s);
+}
+
 /* The right ends 2% before the platform lease, counted from before the renewal was sent. */
 Test(slot, right_counts_from_the_request)
 {
