--- a/standins/load/main.c
+++ b/standins/load/main.c
@@ -211,6 +211,7 @@
 	now_us = clock_now_us();
 	out.latency_us = (uint32_t)(now_us - due_us);
 	out.ended_us = now_us - run_start_us;
+	out.due_us = due_us - run_start_us;
 	tally_add(r->tally, &out);
 }
 
--- a/standins/load/tally.c
+++ b/standins/load/tally.c
@@ -16,6 +16,11 @@
 	uint64_t n;
 };
 
+struct bins {
+	uint32_t *counts;
+	size_t n;
+};
+
 struct tally {
 	pthread_mutex_t lock;
 	char phase[32];
@@ -32,8 +37,9 @@
 	size_t n_latencies;
 	size_t cap_latencies;
 	/* Good answers for each 100 ms since the start of the run. */
-	uint32_t *bins;
-	size_t n_bins;
+	struct bins good;
+	/* Requests of each 100 ms by the time at which they were due. */
+	struct bins due;
 };
 
 static void *grow(void *old, size_t bytes)
@@ -61,7 +67,8 @@
 {
 	pthread_mutex_destroy(&t->lock);
 	free(t->latencies);
-	free(t->bins);
+	free(t->good.counts);
+	free(t->due.counts);
 	free(t);
 }
 
@@ -77,21 +84,26 @@
 	reasons[i].n++;
 }
 
-static void count_good(struct tally *t, const struct tally_result *r)
+static void count_bin(struct bins *b, uint64_t us)
 {
-	size_t bin = r->ended_us / BIN_US;
+	size_t bin = us / BIN_US;
+
+	if (bin >= b->n) {
+		b->counts = grow(b->counts, (bin + 1) * sizeof(b->counts[0]));
+		memset(b->counts + b->n, 0, (bin + 1 - b->n) * sizeof(b->counts[0]));
+		b->n = bin + 1;
+	}
+	b->counts[bin]++;
+}
 
+static void count_good(struct tally *t, const struct tally_result *r)
+{
 	if (t->n_latencies == t->cap_latencies) {
 		t->cap_latencies = t->cap_latencies ? t->cap_latencies * 2 : 1024;
 		t->latencies = grow(t->latencies, t->cap_latencies * sizeof(t->latencies[0]));
 	}
 	t->latencies[t->n_latencies++] = r->latency_us;
-	if (bin >= t->n_bins) {
-		t->bins = grow(t->bins, (bin + 1) * sizeof(t->bins[0]));
-		memset(t->bins + t->n_bins, 0, (bin + 1 - t->n_bins) * sizeof(t->bins[0]));
-		t->n_bins = bin + 1;
-	}
-	t->bins[bin]++;
+	count_bin(&t->good, r->ended_us);
 }
 
 void tally_add(struct tally *t, const struct tally_result *r)
@@ -100,6 +112,7 @@
 	t->requests++;
 	t->attempts += r->attempts;
 	t->outcomes[r->outcome]++;
+	count_bin(&t->due, r->due_us);
 	t->crossed += r->crossed;
 	t->incomplete += r->incomplete;
 	if (r->outcome == TALLY_NOT_RUN)
@@ -175,7 +188,8 @@
 	add_u64(o, "p50_us", quantile(t, 0.5));
 	add_u64(o, "p99_us", quantile(t, 0.99));
 	add_u64(o, "p999_us", quantile(t, 0.999));
-	json_object_object_add(o, "goodput_per_100ms", bins_json(t->bins, t->n_bins));
+	json_object_object_add(o, "goodput_per_100ms", bins_json(t->good.counts, t->good.n));
+	json_object_object_add(o, "due_per_100ms", bins_json(t->due.counts, t->due.n));
 	return o;
 }
 
@@ -188,15 +202,15 @@
 
 	for (size_t i = 0; i < n; i++) {
 		json_object_array_add(list, one_json(tallies[i]));
-		if (tallies[i]->n_bins > n_bins)
-			n_bins = tallies[i]->n_bins;
+		if (tallies[i]->good.n > n_bins)
+			n_bins = tallies[i]->good.n;
 	}
 	bins = calloc(n_bins + 1, sizeof(*bins));
 	if (!bins)
 		abort();
 	for (size_t i = 0; i < n; i++)
-		for (size_t b = 0; b < tallies[i]->n_bins; b++)
-			bins[b] += tallies[i]->bins[b];
+		for (size_t b = 0; b < tallies[i]->good.n; b++)
+			bins[b] += tallies[i]->good.counts[b];
 	json_object_object_add(root, "streams", list);
 	json_object_object_add(root, "goodput_per_100ms", bins_json(bins, n_bins));
 	free(bins);
--- a/standins/load/tally.h
+++ b/standins/load/tally.h
@@ -34,6 +34,8 @@
 	uint32_t latency_us;
 	/** Time since the start of the run. */
 	uint64_t ended_us;
+	/** Time since the start of the run at which the request was due. */
+	uint64_t due_us;
 	/** The answer belongs to another request. */
 	bool crossed;
 	/** The answer is for this request but not whole. */
--- a/standins/target/main.c
+++ b/standins/target/main.c
@@ -47,6 +47,7 @@
 	int shed;
 	int seen_mb;
 	int log_max;
+	int ignore_deadline;
 };
 
 static struct options opt = {.service_ms = 1.0,
@@ -188,7 +189,7 @@
 	char *body;
 	size_t len;
 
-	if (deadline)
+	if (deadline && !opt.ignore_deadline)
 		req.deadline_us = clock_now_us() + strtoull(deadline, NULL, 10) * 1000;
 	if (http_server_read_body(conn, BODY_MAX_BYTES, &body, &len)) {
 		reply(conn, req.id, 400, false, 0, "request body is too large or truncated\n", 39);
@@ -390,6 +391,8 @@
 		 "MB"},
 		{"watch-text", 0, POPT_ARG_STRING, &opt.watch_text, 0,
 		 "texts always searched for, for seen: A,B", "LIST"},
+		{"ignore-deadline", 0, POPT_ARG_NONE, &opt.ignore_deadline, 0,
+		 "go on with requests whose deadline has passed", NULL},
 		{"log-max", 0, POPT_ARG_INT, &opt.log_max, 0, "executions kept in the log", "N"},
 		POPT_AUTOHELP POPT_TABLEEND};
 
--- /dev/null
+++ b/tests/bench.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# Benchmark of the overload control over real processes on loopback: tests/bench.sh BUILD
+# See docs/bench.md. Settings by environment:
+#   BENCH_SEED               seed of arrivals and service times (1)
+#   BENCH_CASES              cases to run, in this order (all)
+#   BENCH_DEPLOYMENTS        franchise and verband (both)
+#   BENCH_SIDES              briarreel and baseline (both)
+#   BENCH_FRANCHISE_DIVISOR  the slots of design.md 1.3 are divided by this (2)
+#   BENCH_VERBAND_DIVISOR    the same for the other deployment (4)
+#   BENCH_HOP_CALLS          calls of each kind for the time added to a call (2000; 0: left out)
+#   BENCH_OUT                folder for the results (out/bench)
+set -u
+cd "$(dirname "$0")/.."
+BUILD=$1
+OUT=${BENCH_OUT:-out/bench}
+CASES=${BENCH_CASES:-steady platform greedy surgeretry surge zone coldstart replace}
+DEPLOYMENTS=${BENCH_DEPLOYMENTS:-franchise verband}
+SIDES=${BENCH_SIDES:-briarreel baseline}
+HOP_CALLS=${BENCH_HOP_CALLS:-2000}
+export BENCH_SEED=${BENCH_SEED:-1}
+started=$SECONDS
+failed=0
+
+# Ports below the range that the system gives to clients; each lane has 1000 of its own.
+free_base() {
+	local base
+	while :; do
+		base=$((11000 + RANDOM % 20 * 1000))
+		[[ " ${used[*]-} " = *" $base "* ]] && continue
+		(exec 3<>"/dev/tcp/127.0.0.1/$((base + 1))") 2>/dev/null && continue
+		(exec 3<>"/dev/tcp/127.0.0.1/$((base + 11))") 2>/dev/null && continue
+		(exec 3<>"/dev/tcp/127.0.0.1/$((base + 600))") 2>/dev/null && continue
+		break
+	done
+	used+=("$base")
+	BASE=$base
+}
+used=()
+
+mkdir -p "$OUT" || exit 1
+rm -f "$OUT"/*.json "$OUT"/*.txt "$OUT"/*.log
+if [ "$HOP_CALLS" -gt 0 ]; then
+	free_base
+	BENCH_PORT_BASE=$BASE bash bench/hop.sh "$BUILD" "$HOP_CALLS" "$OUT/hop.json" || failed=1
+fi
+for side in $SIDES; do
+	lanes=()
+	for deployment in $DEPLOYMENTS; do
+		free_base
+		# shellcheck disable=SC2086
+		BENCH_PORT_BASE=$BASE bash bench/lane.sh "$BUILD" "$deployment" "$side" "$OUT" $CASES &
+		lanes+=($!)
+	done
+	for pid in "${lanes[@]}"; do
+		wait "$pid" || failed=1
+	done
+done
+printf '{"commit": "%s", "seed": %d, "cases": "%s", "hop_calls": %d, "seconds": %d, "load_average": %s}\n' \
+	"$(git rev-parse --short HEAD 2>/dev/null)" "$BENCH_SEED" "$CASES" "$HOP_CALLS" \
+	$((SECONDS - started)) "$(cut -d' ' -f1 /proc/loadavg)" >"$OUT/run.json"
+"$BUILD/bench_report" "$OUT" "$OUT/bench.json" | tee "$OUT/bench.txt"
+printf '\n%d s; load average %s; results in %s\n' $((SECONDS - started)) \
+	"$(cut -d' ' -f1 /proc/loadavg)" "$OUT/bench.json"
+[ $failed -eq 0 ] || echo "some cases did not run to their end, see above" >&2
+exit $failed
