Leave the admission threshold alone while the queue shortens

A backlog keeps the delay high after arrivals were cut, and arrivals that are refused early are not counted at the node, so that their levels are passed at no cost.

--- a/bench/lane.sh
+++ b/bench/lane.sh
@@ -182,12 +182,33 @@
 
 . bench/cases.sh
 
+# Writes the load counters of all nodes to a file every 250 ms, to find the cause of a figure.
+sample() {
+	local i
+	while :; do
+		for ((i = 0; i < 3 * N_ZONES; i++)); do
+			curl -s --max-time 1 "http://$(mesh_address $i admin)/briarreel/counters" |
+				awk -v t=$(($(date +%s%3N) - CASE_START_MS)) -v i=$i -v s="${SERVICES[i / N_ZONES]}" '
+				/^briarreel_(target_|admission_threshold|shed_|dispatched|retries|rate_limited_total |unknown)/ {
+					sub(/^briarreel_/, "", $1); l = l " " $1 "=" $2}
+				END {print t, i, s l}'
+		done
+		sleep 0.25
+	done
+}
+
 run_case() {
-	local before after
+	local before after sampler=
 	before=$(deep_stat executions)
 	CASE_START_MS=$(date +%s%3N)
+	if [ -n "${BENCH_SAMPLE:-}" ] && [ "$SIDE" = briarreel ]; then
+		sample >"$OUT/$DEPLOYMENT.$1.samples" &
+		sampler=$!
+	fi
 	"case_$1" "$DEPLOYMENT.$SIDE.$1"
 	wait "$LOAD_PID"
+	[ -z "${sampler:-}" ] || kill "$sampler"
+	sampler=
 	after=$(deep_stat executions)
 	printf '{"capacity": %d, "seed": %d, "divisor": %d, "deadline_ms": %d, "service_ms": [%s], "slots": [%s], "retries": %d, "slow_factor": %d, "deep_runs": %d}\n' \
 		$CAPACITY "$SEED" $DIVISOR $DEADLINE_MS "$(join_by_comma "${SERVICE_MS[@]}")" \
--- a/lib/admission.c
+++ b/lib/admission.c
@@ -9,6 +9,8 @@
 /* Parts of the admitted arrivals by which the threshold goes down or up per window. */
 #define THRESHOLD_DOWN 0.05
 #define THRESHOLD_UP 0.01
+/* Part by which the queue shortens in a window in which the threshold is left alone. */
+#define DRAINS 0.1
 /* Levels per window; from the lowest threshold to the highest takes 1.4 s. */
 #define THRESHOLD_STEP 8
 /* Windows that are made up for after a pause; the averages have decayed by then. */
@@ -98,12 +100,28 @@
 	}
 }
 
+/*
+ * While the queue shortens, the threshold is low enough: what is left of the delay is a backlog. To
+ * lower it further would refuse what the slots need once the backlog is gone. Arrivals that entry
+ * nodes refuse early are not seen here, so that nothing else would stop the threshold.
+ */
+static bool queue_drains(struct br_admission *a)
+{
+	bool drains = a->queued < a->window_queued * (1 - DRAINS);
+
+	a->window_queued = a->queued;
+	return drains;
+}
+
 static void adjust_threshold(struct br_admission *a)
 {
+	bool drains = queue_drains(a);
 	double admitted = 0;
 
 	for (uint32_t i = 0; i <= a->threshold; i++)
 		admitted += a->arrivals[i];
+	if (a->overloaded && drains)
+		return;
 	if (a->overloaded)
 		lower_threshold(a, admitted);
 	else
--- a/lib/admission_internal.h
+++ b/lib/admission_internal.h
@@ -58,6 +58,8 @@
 	uint64_t last_us;
 	uint64_t window_start_us;
 	uint64_t min_delay_us;
+	/** Length of the queue at the end of the window before. */
+	uint32_t window_queued;
 	bool overloaded;
 	uint32_t threshold;
 	/** Admitted arrivals per window that are still to be refused. */
