Start the limiter at no more than the announced slots

Cause: the ledger (5 slots) started at a limit of 8. Its reference was measured while the target already queued, so that the limit stayed at 7 to 9 and the target's own queue made its service times longer. A probe phase at 0.75 of 5 leaves 3 slots, which overloads a service at 0.8 of its capacity. Change: the first limit is at most the announced slots, a fast step of growth ends there, and the probe phase of a target with up to 8 slots is rounded to the nearest number. Unit tests of both, and of the threshold that holds while the queue shortens.

--- a/lib/limiter.c
+++ b/lib/limiter.c
@@ -52,6 +52,7 @@
 #define PROBE_SAMPLES 256
 #define PROBE_MAX_US (600 * BR_US_PER_MS)
 #define PROBE_FACTOR 0.75
+#define FEW_SLOTS 8
 #define CLEAN_FACTOR 0.85
 #define PROBE_WEIGHT 0.5
 
@@ -182,8 +183,11 @@
 
 void br_limiter_set_hint(struct br_limiter *l, uint32_t slots)
 {
+	bool first = !l->hint && l->cold;
+
 	l->hint = slots;
-	set_limit(l, l->limit);
+	/* A small target does not start above its slots: its reference would include congestion. */
+	set_limit(l, first && slots && l->limit > slots ? slots : l->limit);
 }
 
 void br_limiter_note_in_flight(struct br_limiter *l, uint32_t in_flight)
@@ -196,6 +200,10 @@
 {
 	double limit = l->probing ? l->limit * PROBE_FACTOR : l->limit;
 
+	/* Rounding down would take almost half of a few slots. */
+	if (l->probing && l->hint && l->hint <= FEW_SLOTS)
+		limit += 0.5;
+
 	return limit < l->min ? l->min : (uint32_t)limit;
 }
 
@@ -267,8 +275,12 @@
 	l->cuts = 0;
 	if (l->peak_in_flight + 1 < (uint32_t)l->limit)
 		return;
-	if (l->cold || l->limit * FAST_GROWTH < l->good_limit) {
-		set_limit(l, l->limit * FAST_GROWTH + 1);
+	if ((l->cold || l->limit * FAST_GROWTH < l->good_limit) &&
+	    (!l->hint || l->limit < l->hint)) {
+		double next = l->limit * FAST_GROWTH + 1;
+
+		/* A fast step ends at the announced slots; above them the steps are small. */
+		set_limit(l, l->hint && next > l->hint ? l->hint : next);
 		/* The next fast step waits until this one shows in the service times. */
 		l->hold_until_us = now_us + settle_us(l);
 	} else {
--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -237,6 +237,26 @@
 	finish();
 }
 
+/* Guards against a threshold that falls to its minimum over the backlog of a short burst. */
+Test(admission, threshold_holds_while_the_queue_shortens)
+{
+	uint64_t now = NOW;
+	int running = 0;
+
+	setup_limit(1, 64, BR_ORDER_ADAPTIVE);
+	for (int i = 0; i < 40; i++)
+		offer(i, 1, 5, now);
+	for (int i = 0; i < 30; i++) {
+		now += 10 * BR_US_PER_MS;
+		done(running, 10000, now);
+		running = next(now);
+	}
+	cr_assert(br_admission_overloaded(f.a));
+	cr_assert_geq(br_admission_threshold(f.a), 5 * BR_SUBLEVELS);
+	done(running, 10000, now);
+	finish();
+}
+
 /* Threads read the clock before they lock; an older time must not close windows. */
 Test(admission, tolerates_times_out_of_order)
 {
--- a/tests/unit/limiter.c
+++ b/tests/unit/limiter.c
@@ -144,6 +144,38 @@
 	br_limiter_destroy(t.l);
 }
 
+/* Guards against a small target whose reference is measured while it already queues. */
+Test(limiter, starts_at_most_at_the_announced_slots)
+{
+	struct br_limiter *l = br_limiter_create(8, 2, 100);
+
+	br_limiter_set_hint(l, 5);
+	cr_assert_eq(br_limiter_limit(l), 5);
+	br_limiter_reset(l);
+	cr_assert_eq(br_limiter_limit(l), 5);
+	br_limiter_set_hint(l, 20);
+	cr_assert_eq(br_limiter_limit(l), 5);
+	br_limiter_destroy(l);
+}
+
+/* Guards against a probe that takes two of five slots, and so causes the overload it looks for. */
+Test(limiter, probes_a_small_target_with_one_slot_less)
+{
+	struct br_limiter *l = br_limiter_create(8, 2, 100);
+	uint32_t least = 100;
+
+	br_limiter_set_hint(l, 5);
+	for (uint64_t t = 1; t < 500; t++) {
+		uint32_t limit;
+
+		br_limiter_sample(l, 0, 40000, false, t * 8000);
+		limit = br_limiter_limit(l);
+		least = limit < least ? limit : least;
+	}
+	cr_assert_eq(least, 4);
+	br_limiter_destroy(l);
+}
+
 /* Without load there is no evidence, so the limit must not grow. */
 Test(limiter, does_not_grow_while_unused)
 {
