--- a/bench/lane.sh
+++ b/bench/lane.sh
@@ -199,6 +199,8 @@
 
 run_case() {
 	local before after sampler=
+	# What the case before left in the queues is gone before this one begins.
+	sleep 1
 	before=$(deep_stat executions)
 	CASE_START_MS=$(date +%s%3N)
 	if [ -n "${BENCH_SAMPLE:-}" ] && [ "$SIDE" = briarreel ]; then
--- a/bench/report.c
+++ b/bench/report.c
@@ -292,6 +292,25 @@
 	return p2.ok + p5.ok > 0 ? top.overload : 0;
 }
 
+/* Requests that ended as unknown or with an error of a target, in percent of all. */
+static double failed_percent(const struct run *r)
+{
+	struct json_object *list;
+	struct sums s;
+	double failed = 0;
+
+	if (!r->present)
+		return NOT_MEASURED;
+	s = sum_streams(r, NULL, NULL);
+	list = json_object_object_get(r->load, "streams");
+	for (size_t i = 0; i < json_object_array_length(list); i++) {
+		struct json_object *o = json_object_array_get_idx(list, i);
+
+		failed += number(o, "unknown") + number(o, "answered") - number(o, "answered_ok");
+	}
+	return s.requests > 0 ? 100 * failed / s.requests : NOT_MEASURED;
+}
+
 static double deep_runs(const struct run *r, bool per_good)
 {
 	struct sums s;
@@ -408,6 +427,7 @@
 	    recovery_s(&r[1], "before", "during"));
 	row(name, "recovery after its end, s", recovery_s(&r[0], "before", "after"),
 	    recovery_s(&r[1], "before", "after"));
+	row(name, "requests cut or failed, percent", failed_percent(&r[0]), failed_percent(&r[1]));
 	row(name, "wrongful refusals, percent", wrongful_percent(&r[0], NULL, 0), NOT_MEASURED);
 }
 
