--- a/bench/report.c
+++ b/bench/report.c
@@ -224,7 +224,7 @@
 		while (kept <= KEPT_BINS && window_good(r, t + kept, ratio))
 			kept++;
 		if (kept > KEPT_BINS)
-			return (t - a->start_ms / BIN_MS) * BIN_MS / 1000.0;
+			return ((double)t * BIN_MS - a->start_ms) / 1000.0;
 	}
 	return (a->end_ms - a->start_ms) / 1000.0;
 }
