Leave requests up to one priority above the threshold to the target's node

Cause: entry nodes refused every request of a priority as soon as the learned threshold fell below it, whatever its account, and the threshold passes a priority in one step; slots were idle until it was raised. Change: early refusal begins one priority above the threshold.

--- a/node/forward.c
+++ b/node/forward.c
@@ -31,6 +31,12 @@
 #define REATTACH_MAX_IDEMPOTENT 2
 #define REATTACH_MAX 20
 #define REATTACH_PAUSE_MS 50
+/*
+ * An entry node does not know a request's sublevel, and a threshold moves through a priority in one
+ * step where most requests share a level. Up to this far above the threshold the target's node
+ * decides, which refuses only what would have to queue.
+ */
+#define EARLY_SLACK_LEVELS BR_SUBLEVELS
 /* Repeats after an overload refusal add load where it hurts, so there is one at most. */
 #define OVERLOAD_RETRIES_MAX 1
 #define RETRY_PAUSE_MS 5
@@ -131,6 +137,7 @@
 	uint32_t level = (uint32_t)c->priority * BR_SUBLEVELS;
 	bool admit;
 
+	level = level > EARLY_SLACK_LEVELS ? level - EARLY_SLACK_LEVELS : 0;
 	pthread_mutex_lock(&f->lock);
 	admit = br_pressure_admit(f->pressure, c->service, level, &f->rng, clock_now_us());
 	pthread_mutex_unlock(&f->lock);
--- a/node/lease_control.c
+++ b/node/lease_control.c
@@ -21,7 +21,6 @@
 /* NTP keeps the clock rates of VMs within 500 ppm of each other. */
 #define CLOCK_RATE_MARGIN_PPM 500
 
-
 /** An account that this node may grant from. */
 struct account_entry {
 	char name[BR_NAME_BYTES];
@@ -86,8 +85,8 @@
 		if (!a)
 			abort();
 		br_copy_text(a->name, sizeof(a->name), rec->name);
-		a->entitlement =
-			br_entitlement_create(rec->name, &limits, CONTROL_CHANGE_SPREAD_US + lc->term_us);
+		a->entitlement = br_entitlement_create(rec->name, &limits,
+						       CONTROL_CHANGE_SPREAD_US + lc->term_us);
 		if (!a->entitlement)
 			abort();
 		a->next = lc->accounts;
