--- a/node/main.c
+++ b/node/main.c
@@ -245,8 +245,5 @@
 	if (status || opts.check)
 		return status;
 	log_init("briarreeld", (enum log_level)settings.log_level);
-	status = run(&settings);
-	/* popt allocates the texts of options. */
-	free((void *)opts.settings);
-	return status;
+	return run(&settings);
 }
