--- a/include/briarreel/registrar.h
+++ b/include/briarreel/registrar.h
@@ -21,7 +21,7 @@
 struct br_registrar_config {
 	/** Slots of the deployment (share_slots). */
 	uint32_t n_slots;
-	/** Claims and released ids that are remembered (1048576 if 0). */
+	/** Claims and released ids that are remembered (524288 if 0). */
 	uint32_t max_claims;
 	/** Time for which a claim is remembered after it was last used (120 s if 0). */
 	uint64_t window_us;
--- a/lib/registrar.c
+++ b/lib/registrar.c
@@ -6,7 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DEFAULT_CLAIMS 1048576
+/* 234 bytes each (docs/CAPACITY.md): 123 MB of the 256 MB that a node may use. */
+#define DEFAULT_CLAIMS 524288
 #define DEFAULT_WINDOW_US (120 * BR_US_PER_S)
 #define DEFAULT_CLOCK_SKEW_MS 5000
 /* Least surplus of half the autonomy over the quiet time. */
