Answer 503 instead of 429 while a node does not know the holders

Cause: a node that had just started refused accounts within their rate with 429 until it knew who holds their slots (seen in mesh-rate by hand). Change: it answers 503, no-config, so that callers try another node and the refusal is not counted as over the rate. A leftover division and a struct name that the formatter took for a keyword are gone.

--- a/lib/admission.c
+++ b/lib/admission.c
@@ -145,7 +145,7 @@
 
 static uint64_t overload_delay_us(const struct br_admission *a)
 {
-	uint64_t delay_us = (uint64_t)(a->service_us / 1);
+	uint64_t delay_us = (uint64_t)a->service_us;
 
 	if (delay_us < OVERLOAD_DELAY_US)
 		return OVERLOAD_DELAY_US;
--- a/lib/limiter.c
+++ b/lib/limiter.c
@@ -63,8 +63,7 @@
 	double squares;
 };
 
-struct class
-{
+struct request_class {
 	struct moments window;
 	bool known;
 	double baseline;
@@ -91,7 +90,7 @@
 	bool probing, measuring;
 	uint32_t probe_samples;
 	struct moments excess;
-	struct class classes[CLASSES];
+	struct request_class classes[CLASSES];
 };
 
 static void moments_add(struct moments *m, double x)
@@ -208,7 +207,7 @@
 }
 
 /* The first baseline of a class is the mean of its first window. */
-static void class_sample(struct class *c, double log_us)
+static void class_sample(struct request_class *c, double log_us)
 {
 	struct moments *w = &c->window;
 
@@ -378,7 +377,7 @@
 	uint32_t n = 0;
 
 	for (int i = 0; i < CLASSES; i++) {
-		struct class *c = &l->classes[i];
+		struct request_class *c = &l->classes[i];
 		double mean = c->window.n ? c->window.sum / c->window.n : 0;
 
 		if (c->known && c->window.n >= CLASS_SAMPLES) {
@@ -439,7 +438,7 @@
 void br_limiter_sample(struct br_limiter *l, uint32_t class, uint64_t service_us, bool shed,
 		       uint64_t now_us)
 {
-	struct class *c = &l->classes[class % CLASSES];
+	struct request_class *c = &l->classes[class % CLASSES];
 	double log_us = 0;
 
 	/* Callers read the clock before they take their lock, so times may be out of order. */
--- a/node/caller.c
+++ b/node/caller.c
@@ -217,8 +217,9 @@
 		counter_add(COUNTER_SHED_EARLY, 1);
 		return br_outcome_not_run(BR_REASON_OVERLOAD, EARLY_RETRY_MS);
 	}
-	if (r->account && rates_take(r->node->rates, r->account, &r->call))
-		return br_outcome_not_run(BR_REASON_OVER_RATE, OVER_RATE_RETRY_MS);
+	reason = r->account ? rates_take(r->node->rates, r->account, &r->call) : BR_REASON_NONE;
+	if (reason)
+		return br_outcome_not_run(reason, OVER_RATE_RETRY_MS);
 	return br_outcome_answered(0);
 }
 
--- a/node/rates.c
+++ b/node/rates.c
@@ -27,6 +27,7 @@
 	pthread_cond_t granted;
 	struct br_bucket *bucket;
 	uint32_t waiting;
+	bool has_holders;
 	struct account_rate *next;
 };
 
@@ -108,6 +109,7 @@
 	br_bucket_set_limits(a->bucket, limits->rate_mtok_s, limits->burst * BR_NTOK_PER_TOKEN,
 			     br_slot_set_count(&set), now_us);
 	n = find_holders(r, &set, n_slots, holders);
+	a->has_holders = n > 0;
 	br_bucket_set_holders(a->bucket, holders, n, now_us);
 }
 
@@ -191,6 +193,7 @@
 {
 	struct account_rate *a = find_account(r, account);
 	uint64_t valid_until_us = 0;
+	bool has_holders;
 	int ret;
 
 	pthread_mutex_lock(&a->lock);
@@ -202,12 +205,16 @@
 		else
 			br_bucket_wait_ended(a->bucket);
 	}
+	has_holders = a->has_holders;
 	pthread_mutex_unlock(&a->lock);
 	/* A pause after the debit may have outlasted the lease that the token came from. */
 	if (!ret && clock_now_us() >= valid_until_us)
 		ret = -EDQUOT;
 	if (!ret)
 		return BR_REASON_NONE;
+	/* The account may be well within its rate: the caller should try another node. */
+	if (!has_holders)
+		return BR_REASON_NO_CONFIG;
 	counter_add(COUNTER_RATE_LIMITED, 1);
 	return BR_REASON_OVER_RATE;
 }
--- a/node/rates.h
+++ b/node/rates.h
@@ -18,7 +18,8 @@
 
 /**
  * Takes one token of an account for a call. Waits a short time for a lease that was asked for.
- * Returns BR_REASON_NONE or BR_REASON_OVER_RATE. Traffic threads.
+ * Returns BR_REASON_NONE, BR_REASON_OVER_RATE, or BR_REASON_NO_CONFIG while this node does not know
+ * the holders of the account's slots, as just after its start. Traffic threads.
  */
 enum br_reason rates_take(struct rates *r, const struct br_record *account, struct call *c);
 
