End the processes of benchmarks by the shell's running jobs

Cause: bench and capacity scripts signalled all ids that they had ever started; ids of ended processes belong to others within minutes here. Change: mesh_kill ends running jobs only; the list of ids is gone.

--- a/bench/hop.sh
+++ b/bench/hop.sh
@@ -30,5 +30,5 @@
 "$BUILD/bench_hop" "$(mesh_address 0 target)" "$(mesh_address 0 caller)" "$(mesh_address 1 caller)" \
 	"$KEY" /echo "$2" "$3"
 ret=$?
-for pid in "${MESH_PIDS[@]}"; do kill -KILL "$pid"; done 2>/dev/null
+mesh_kill
 exit $ret
--- a/bench/lane.sh
+++ b/bench/lane.sh
@@ -171,7 +171,6 @@
 	"$BUILD/standin-load" --to "$to" --plan "$OUT/$1.plan.json" --out "$OUT/$1.load.json" \
 		--seed "$SEED" --max-requests 60000 --max-ms 40000 >"$OUT/$1.txt" 2>"$OUT/$1.log" &
 	LOAD_PID=$!
-	MESH_PIDS+=("$LOAD_PID")
 }
 
 # Waits until the given milliseconds after the start of the case.
@@ -248,6 +247,5 @@
 	run_case "$c"
 done
 # Nothing is measured any more, and a graceful stop of all nodes at once takes long.
-kill -KILL "${MESH_PIDS[@]}" 2>/dev/null
-wait 2>/dev/null
+mesh_kill
 exit 0
--- a/tests/capacity.sh
+++ b/tests/capacity.sh
@@ -18,18 +18,6 @@
 FEW_WORKERS='"caller_workers": 8, "peer_workers": 8, "local_workers": 4,'
 N=0
 
-# Ends all processes of the last mesh at once; nothing of it is needed any more.
-mesh_drop() {
-	local pid
-	for pid in "${MESH_PIDS[@]}"; do
-		kill -KILL "$pid" 2>/dev/null
-	done
-	for pid in "${MESH_PIDS[@]}"; do
-		wait "$pid" 2>/dev/null
-	done
-	MESH_PIDS=()
-}
-
 node_pid() {
 	local name=PID_node$1
 	echo "${!name}"
@@ -176,7 +164,7 @@
 		mesh_up "$n" 4 4 "$FEW_WORKERS"
 		measure nodes
 		in_force in_force
-		mesh_drop
+		mesh_kill
 	done
 }
 
@@ -186,7 +174,7 @@
 	for ms in 500 100; do
 		mesh_up 16 4 4 "$FEW_WORKERS \"probe_interval_ms\": $ms,"
 		measure "probes interval_ms $ms"
-		mesh_drop
+		mesh_kill
 	done
 	mesh_up 4 4 4 "$FEW_WORKERS"
 	pid=$(node_pid 3)
@@ -197,7 +185,7 @@
 		sed 's/.*) //' "/proc/$pid/stat" | awk -v b="$before" -v k=$kind \
 			'{print "exchange " k " answering side cpu_us_each", ($12 + $13 - b) * 10000 / 3000}'
 	done
-	mesh_drop
+	mesh_kill
 }
 
 section_records() {
@@ -205,11 +193,11 @@
 	for n in 4 64; do
 		mesh_up 8 "$n" 4 "$FEW_WORKERS"
 		measure "records accounts $n routes 4"
-		mesh_drop
+		mesh_kill
 	done
 	mesh_up 8 4 140 "$FEW_WORKERS"
 	measure "records accounts 4 routes 140"
-	mesh_drop
+	mesh_kill
 }
 
 # Configuration changes: one in 15 s is 5,600 a day.
@@ -223,7 +211,7 @@
 		snapshot "$MESH_DIR/b"
 		report "changes n $(wc -l <"$MESH_DIR/changes") pause_ms $pause"
 	done
-	mesh_drop
+	mesh_kill
 }
 
 # Member changes: each announcement makes a target appear, and its silence makes it go after 3 s.
@@ -241,7 +229,7 @@
 		sleep 12
 		snapshot "$MESH_DIR/b"
 		report "members changes 16"
-		mesh_drop
+		mesh_kill
 	done
 }
 
@@ -250,19 +238,18 @@
 	mesh_up 4 4 4 '"caller_workers": 600, "peer_workers": 8, "local_workers": 4,'
 	for n in 0 200 550; do
 		"$BUILD/bench_mesh" hold "$(mesh_address 3 caller)" $n $((MEASURE_S + 4)) >"$MESH_DIR/hold" &
-		MESH_PIDS+=($!)
 		sleep 2
 		measure "connections of node 3: $n"
 		tail -n 1 "$MESH_DIR/b" | awk '{print "connections last node rss_MiB", $10 / 1024, "threads", $11}'
 		sleep 4
 	done
-	mesh_drop
+	mesh_kill
 }
 
 section_workers() {
 	mesh_up 4 4 4 ''
 	measure "workers default"
-	mesh_drop
+	mesh_kill
 }
 
 calls_delta() {
@@ -290,7 +277,7 @@
 		done
 		sleep 12
 		calls_delta "start 8 more of $n nodes, 12 s" "$before" "$(platform_calls)"
-		mesh_drop
+		mesh_kill
 	done
 }
 
@@ -329,7 +316,7 @@
 		"$(get_stream 1 100),$(get_stream 2 100),$(get_stream 3 100),$(get_stream 4 100)"
 	load "traffic accounts 1 post_s 400" \
 		'{"name": "post", "key": "key-of-account-1-of-mesh", "method": "POST", "path": "/post/x", "rate_per_s": 400, "connections": 24, "deadline_ms": 5000, "body_bytes": 16, "request_id": "new"}'
-	mesh_drop
+	mesh_kill
 }
 
 for section in $SECTIONS; do
--- a/tests/mesh.sh
+++ b/tests/mesh.sh
@@ -2,7 +2,6 @@
 # Set BUILD (folder of the programs) before. All processes are ended by their own ids.
 
 MESH_DIR=$(mktemp -d)
-MESH_PIDS=()
 MESH_TOKEN=mesh-token-for-tests
 PLATFORM=
 SEEDS=
@@ -19,6 +18,15 @@
 }
 trap mesh_cleanup EXIT
 
+# Ends all processes of the mesh at once; nothing of it is needed any more.
+mesh_kill() {
+	local pid
+	for pid in $(jobs -pr); do
+		kill -KILL "$pid"
+	done 2>/dev/null
+	wait 2>/dev/null
+}
+
 # Chooses a range of 1000 ports that no other mesh uses; the lock is held until this shell ends.
 mesh_choose_ports() {
 	local base
@@ -39,7 +47,6 @@
 	local name=$1
 	shift
 	"$@" >"$MESH_DIR/$name.out" 2>"$MESH_DIR/$name.log" &
-	MESH_PIDS+=($!)
 	declare -g "PID_${name//-/_}=$!"
 }
 
