--- /dev/null
+++ b/lib/arith.h
@@ -0,0 +1,26 @@
+/**
+ * @file arith.h
+ * Arithmetic on unsigned amounts that the rate modules share.
+ */
+#ifndef LIB_ARITH_H
+#define LIB_ARITH_H
+
+#include <stdint.h>
+
+static inline uint64_t min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
+static inline uint64_t max_u64(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+/** a - b, or 0 if b is larger. */
+static inline uint64_t less(uint64_t a, uint64_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+#endif
--- a/lib/bucket.c
+++ b/lib/bucket.c
@@ -1,5 +1,7 @@
 #include "briarreel/bucket.h"
 
+#include "lib/arith.h"
+
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -75,22 +77,6 @@
 	uint64_t seq;
 };
 
-static uint64_t min_u64(uint64_t a, uint64_t b)
-{
-	return a < b ? a : b;
-}
-
-static uint64_t max_u64(uint64_t a, uint64_t b)
-{
-	return a > b ? a : b;
-}
-
-/* a - b, or 0 if b is larger. */
-static uint64_t less(uint64_t a, uint64_t b)
-{
-	return a > b ? a - b : 0;
-}
-
 struct br_bucket *br_bucket_create(const struct br_bucket_config *cfg)
 {
 	struct br_bucket *b = calloc(1, sizeof(*b));
--- a/node/http_call.c
+++ b/node/http_call.c
@@ -91,6 +91,17 @@
 	return text;
 }
 
+size_t http_call_add_answer(const struct call_answer *ans, struct http_header *headers, size_t n,
+			    struct http_reply *reply)
+{
+	for (size_t i = 0; i < ans->resp.n_headers; i++)
+		if (!call_header_is_private(ans->resp.headers[i].name))
+			headers[n++] = ans->resp.headers[i];
+	reply->body = ans->resp.body;
+	reply->body_len = ans->resp.body_len;
+	return n;
+}
+
 void http_call_reply(struct mg_connection *conn, const struct call *c,
 		     const struct call_answer *ans, const char *slots, bool close)
 {
@@ -108,11 +119,7 @@
 	if (slots && slots[0])
 		headers[n++] = (struct http_header){"Briarreel-Local-Slots", slots};
 	if (ans->outcome.kind == BR_OUTCOME_ANSWERED) {
-		for (size_t i = 0; i < ans->resp.n_headers; i++)
-			if (!call_header_is_private(ans->resp.headers[i].name))
-				headers[n++] = ans->resp.headers[i];
-		reply.body = ans->resp.body;
-		reply.body_len = ans->resp.body_len;
+		n = http_call_add_answer(ans, headers, n, &reply);
 	} else {
 		headers[n++] = (struct http_header){
 			"Briarreel-Reason", br_reason_name(br_outcome_reason(&ans->outcome))};
--- a/node/http_call.h
+++ b/node/http_call.h
@@ -36,6 +36,13 @@
 bool http_call_number(const struct mg_connection *conn, const char *name, uint64_t fallback,
 		      uint64_t max, uint64_t *out);
 
+/**
+ * Adds a target's headers, private ones left out, behind the n that are there, and its body to a
+ * reply. Returns the number of headers; there must be room for HTTP_MAX_HEADERS more.
+ */
+size_t http_call_add_answer(const struct call_answer *ans, struct http_header *headers, size_t n,
+			    struct http_reply *reply);
+
 /** Sends the answer of a call to a caller or target; slots may be NULL. */
 void http_call_reply(struct mg_connection *conn, const struct call *c,
 		     const struct call_answer *ans, const char *slots, bool close);
--- a/node/peer.c
+++ b/node/peer.c
@@ -94,11 +94,7 @@
 	headers[n++] = (struct http_header){"Briarreel-Limit", limit};
 	headers[n++] = (struct http_header){"Briarreel-Incarnation", instance};
 	if (ans->outcome.kind == BR_OUTCOME_ANSWERED) {
-		for (size_t i = 0; i < ans->resp.n_headers; i++)
-			if (!call_header_is_private(ans->resp.headers[i].name))
-				headers[n++] = ans->resp.headers[i];
-		reply.body = ans->resp.body;
-		reply.body_len = ans->resp.body_len;
+		n = http_call_add_answer(ans, headers, n, &reply);
 	} else {
 		headers[n++] = (struct http_header){
 			"Briarreel-Reason", br_reason_name(br_outcome_reason(&ans->outcome))};
