--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Entry points; the build itself is CMake's.
 PACKAGES = gcc cmake ninja-build pkg-config curl libcivetweb-dev libnng-dev libpopt-dev libjson-c-dev \
-	libmsgpack-dev libsodium-dev libcriterion-dev
+	libmsgpack-dev libsodium-dev libcriterion-dev libuv1-dev libhttp-parser-dev
 SOURCES = $(shell git ls-files '*.c' '*.h')
 JOBS ?= 8
 
--- /dev/null
+++ b/lib/quota.c
@@ -0,0 +1,237 @@
+#include "briarreel/quota.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+/* Accounts and nodes are kept in open hash tables that grow. */
+#define TABLE_MIN 64
+/* The demand of an account is averaged over about this time. */
+#define DEMAND_US (1000.0 * BR_US_PER_MS)
+/* Tokens that a node's equal part may save up while it is not used. */
+#define PART_BURST 1.0
+
+struct row {
+	uint64_t key;
+	/** Keeper: tokens left. Share: tokens of the equal part. */
+	double tokens;
+	uint64_t filled_us;
+	/** Share only. */
+	uint32_t granted;
+	uint64_t expires_us;
+	double demand_per_s;
+	uint64_t demand_us;
+};
+
+struct table {
+	struct row *rows;
+	size_t cap, used;
+};
+
+struct br_quota_keeper {
+	struct table accounts, nodes;
+	uint64_t started_us;
+	uint32_t n_nodes;
+};
+
+struct br_quota_share {
+	struct table accounts;
+};
+
+/* Keys are hashes; 0 stands for a free row. */
+static uint64_t key_of(uint64_t hash)
+{
+	return hash ? hash : 1;
+}
+
+static struct row *probe(const struct table *t, uint64_t key)
+{
+	size_t i = key & (t->cap - 1);
+
+	while (t->rows[i].key && t->rows[i].key != key)
+		i = (i + 1) & (t->cap - 1);
+	return &t->rows[i];
+}
+
+static int grow(struct table *t)
+{
+	struct table bigger = {.cap = t->cap ? 2 * t->cap : TABLE_MIN, .used = t->used};
+
+	bigger.rows = calloc(bigger.cap, sizeof(*bigger.rows));
+	if (!bigger.rows)
+		return -ENOMEM;
+	for (size_t i = 0; i < t->cap; i++)
+		if (t->rows[i].key)
+			*probe(&bigger, t->rows[i].key) = t->rows[i];
+	free(t->rows);
+	*t = bigger;
+	return 0;
+}
+
+/* NULL if memory is short. */
+static struct row *get(struct table *t, uint64_t hash, uint64_t now_us)
+{
+	uint64_t key = key_of(hash);
+	struct row *r;
+
+	if (2 * (t->used + 1) > t->cap && grow(t))
+		return NULL;
+	r = probe(t, key);
+	if (!r->key) {
+		*r = (struct row){.key = key, .filled_us = now_us, .demand_us = now_us};
+		t->used++;
+	}
+	return r;
+}
+
+struct br_quota_keeper *br_quota_keeper_create(uint64_t now_us)
+{
+	struct br_quota_keeper *k = calloc(1, sizeof(*k));
+
+	if (k) {
+		k->started_us = now_us;
+		k->n_nodes = 1;
+	}
+	return k;
+}
+
+void br_quota_keeper_destroy(struct br_quota_keeper *k)
+{
+	if (!k)
+		return;
+	free(k->accounts.rows);
+	free(k->nodes.rows);
+	free(k);
+}
+
+void br_quota_keeper_set_nodes(struct br_quota_keeper *k, uint32_t n)
+{
+	k->n_nodes = n ? n : 1;
+}
+
+int br_quota_keeper_hear(struct br_quota_keeper *k, uint64_t node, uint64_t now_us)
+{
+	struct row *r = get(&k->nodes, node, now_us);
+
+	if (!r)
+		return -ENOMEM;
+	r->filled_us = now_us;
+	return 0;
+}
+
+uint32_t br_quota_keeper_silent(const struct br_quota_keeper *k, uint64_t now_us)
+{
+	uint32_t heard = 0;
+
+	for (size_t i = 0; i < k->nodes.cap; i++)
+		if (k->nodes.rows[i].key && now_us - k->nodes.rows[i].filled_us < BR_QUOTA_SILENT_US)
+			heard++;
+	return heard < k->n_nodes ? k->n_nodes - heard : 0;
+}
+
+static void fill(struct row *r, double rate_per_s, double cap, uint64_t now_us)
+{
+	if (now_us > r->filled_us) {
+		r->tokens += rate_per_s * (double)(now_us - r->filled_us) / (double)BR_US_PER_S;
+		r->filled_us = now_us;
+	}
+	if (r->tokens > cap)
+		r->tokens = cap;
+}
+
+uint32_t br_quota_keeper_grant(struct br_quota_keeper *k, uint64_t account, double rate_per_s,
+			       double burst, uint32_t want, uint64_t now_us)
+{
+	uint32_t silent = br_quota_keeper_silent(k, now_us), n;
+	double part = 1.0 - (double)silent / (double)k->n_nodes;
+	struct row *r = get(&k->accounts, account, k->started_us);
+
+	if (!r)
+		return 0;
+	fill(r, rate_per_s * part, burst > 1 ? burst : 1, now_us);
+	n = r->tokens < 0 ? 0 : (uint32_t)r->tokens;
+	if (n > want)
+		n = want;
+	r->tokens -= n;
+	return n;
+}
+
+struct br_quota_share *br_quota_share_create(void)
+{
+	return calloc(1, sizeof(struct br_quota_share));
+}
+
+void br_quota_share_destroy(struct br_quota_share *s)
+{
+	if (!s)
+		return;
+	free(s->accounts.rows);
+	free(s);
+}
+
+static double demand_left(const struct row *r, uint64_t now_us)
+{
+	double age = now_us > r->demand_us ? (double)(now_us - r->demand_us) : 0;
+
+	return r->demand_per_s / (1 + age / DEMAND_US);
+}
+
+static void count_demand(struct row *r, uint64_t now_us)
+{
+	r->demand_per_s = demand_left(r, now_us) + (double)BR_US_PER_S / DEMAND_US;
+	r->demand_us = now_us;
+}
+
+bool br_quota_share_take(struct br_quota_share *s, uint64_t account, uint64_t now_us)
+{
+	struct row *r = get(&s->accounts, account, now_us);
+
+	if (!r)
+		return false;
+	count_demand(r, now_us);
+	if (!r->granted || now_us >= r->expires_us)
+		return false;
+	r->granted--;
+	return true;
+}
+
+void br_quota_share_add(struct br_quota_share *s, uint64_t account, uint32_t n, uint64_t asked_us)
+{
+	struct row *r = get(&s->accounts, account, asked_us);
+
+	if (!r)
+		return;
+	/* One expiry a row: older tokens must not live longer by a later grant. */
+	if (asked_us >= r->expires_us || !r->granted) {
+		r->granted = n;
+		r->expires_us = asked_us + BR_QUOTA_GRANT_US;
+	} else {
+		r->granted += n;
+	}
+}
+
+uint32_t br_quota_share_want(struct br_quota_share *s, uint64_t account, uint64_t now_us)
+{
+	struct row *r = get(&s->accounts, account, now_us);
+	uint32_t have, want;
+
+	if (!r)
+		return 0;
+	have = now_us < r->expires_us ? r->granted : 0;
+	want = (uint32_t)(demand_left(r, now_us) * (double)BR_QUOTA_GRANT_US / 2 /
+			  (double)BR_US_PER_S);
+	return want > have ? want - have : 0;
+}
+
+bool br_quota_share_take_part(struct br_quota_share *s, uint64_t account, double rate_per_s,
+			      uint32_t n, uint64_t now_us)
+{
+	struct row *r = get(&s->accounts, account, now_us);
+
+	if (!r)
+		return false;
+	fill(r, rate_per_s / (n ? n : 1), PART_BURST, now_us);
+	if (r->tokens < 1)
+		return false;
+	r->tokens -= 1;
+	return true;
+}
--- /dev/null
+++ b/mesh/board.h
@@ -0,0 +1,71 @@
+/**
+ * @file board.h
+ * The blackboard: what control writes and what the request path reads. One loop runs both, since a
+ * node has less than one core; nothing here is locked.
+ */
+#ifndef MESH_BOARD_H
+#define MESH_BOARD_H
+
+#include "briarreel/balance.h"
+#include "mesh/model.h"
+#include "net/http_pool.h"
+
+struct store;
+struct members;
+struct quota;
+struct target;
+
+enum counter {
+	COUNT_REQUESTS,
+	COUNT_ANSWERED,
+	COUNT_NO_CONFIG,
+	COUNT_NO_ROUTE,
+	COUNT_KEY_UNKNOWN,
+	COUNT_KEY_UNCONFIRMED,
+	COUNT_OVER_QUOTA,
+	COUNT_REFUSED,
+	COUNT_FAILED,
+	COUNT_TIMED_OUT,
+	COUNT_CALLER_LEFT,
+	COUNT_REPEATS,
+	COUNT_REPEATS_DENIED,
+	COUNT_TARGET_JOBS,
+	COUNT_TARGET_NOT_RUN,
+	COUNT_TARGET_LOST,
+	COUNTERS,
+};
+
+struct board {
+	uv_loop_t *loop;
+	const struct mesh_settings *settings;
+	struct br_rng rng;
+	/** NULL until the first configuration is known. */
+	struct mesh_config *config;
+	/** Latest time at which the store was known to hold no newer configuration. */
+	uint64_t confirmed_us;
+	/** Another node has a newer configuration: read it. NULL before the watch runs. */
+	void (*newer_seen)(void *ctx, uint64_t version);
+	void *newer_ctx;
+	struct store *store;
+	struct members *members;
+	struct br_balance *balance;
+	struct target *target;
+	struct quota *quota;
+	/** SIGTERM was received. */
+	bool stopping;
+	uint64_t counters[COUNTERS];
+};
+
+static inline void board_count(struct board *b, enum counter c)
+{
+	b->counters[c]++;
+}
+
+/** Tells the watch that another node runs a version; does nothing if it is known. */
+static inline void board_saw_version(struct board *b, uint64_t version)
+{
+	if (b->newer_seen && version > (b->config ? b->config->version : 0))
+		b->newer_seen(b->newer_ctx, version);
+}
+
+#endif
--- /dev/null
+++ b/mesh/config_watch.c
@@ -0,0 +1,235 @@
+#include "mesh/config_watch.h"
+
+#include "briarreel/error.h"
+#include "common/clock.h"
+#include "mesh/event_log.h"
+#include "net/timer.h"
+#include "platform/decode.h"
+#include "platform/store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define READ_TIMEOUT_MS 1000
+/* A watch answers this much after its wait at the latest, or its connection is given up. */
+#define WATCH_EXTRA_MS 1000
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 800
+/* A store that loses its history leaves watches without news for about this time before. */
+#define DEAF_MS 1000
+/* Keys are no longer accepted this much before the bound, for requests under way. */
+#define CONFIRM_MARGIN_MS 500
+
+struct config_watch {
+	struct board *board;
+	struct timer *retry;
+	uint64_t retry_ms;
+	uint64_t revision;
+	/** Start of the call that is under way. */
+	uint64_t sent_us;
+	uint64_t wait_ms;
+	bool lost, reading, read_again;
+};
+
+static void read_config(struct config_watch *w);
+static void watch(struct config_watch *w);
+
+bool config_keys_confirmed(const struct board *board, uint64_t now_us)
+{
+	uint64_t bound_us =
+		(board->settings->revocation_ms - CONFIRM_MARGIN_MS) * BR_US_PER_MS;
+
+	return now_us - board->confirmed_us < bound_us;
+}
+
+uint64_t config_confirmed_ms(const struct board *board)
+{
+	return (clock_now_us() - board->confirmed_us) / BR_US_PER_MS;
+}
+
+static void confirm(struct board *board, uint64_t at_us)
+{
+	if (at_us > board->confirmed_us)
+		board->confirmed_us = at_us;
+}
+
+void config_confirmed_elsewhere(struct board *board, uint64_t version, uint64_t age_ms)
+{
+	uint64_t now_us = clock_now_us();
+
+	if (board->config && version == board->config->version && age_ms * BR_US_PER_MS < now_us)
+		confirm(board, now_us - age_ms * BR_US_PER_MS);
+	else
+		board_saw_version(board, version);
+}
+
+static void adopt(struct config_watch *w, const struct store_item *item)
+{
+	struct board *board = w->board;
+	struct br_error err = {0};
+	struct mesh_config *c = platform_decode_config(item->value, item->len, &err);
+
+	if (!c) {
+		EVENT(EVENT_ERROR, "config", "unreadable", EVENT_TEXT("error", err.detail),
+		      EVENT_NUMBER("revision", item->revision));
+		return;
+	}
+	if (board->config && c->version <= board->config->version) {
+		mesh_config_unref(c);
+		return;
+	}
+	EVENT(EVENT_INFO, "config", "in_force", EVENT_NUMBER("version", c->version),
+	      EVENT_NUMBER("before", board->config ? board->config->version : 0),
+	      EVENT_NUMBER("revision", item->revision), EVENT_NUMBER("routes", c->n_routes),
+	      EVENT_NUMBER("accounts", c->n_accounts));
+	mesh_config_unref(board->config);
+	board->config = c;
+}
+
+static void take_items(struct config_watch *w, const struct store_reply *r)
+{
+	for (size_t i = 0; i < r->n_items; i++)
+		if (!r->items[i].deleted && !strcmp(r->items[i].key, PLATFORM_CONFIG_KEY))
+			adopt(w, &r->items[i]);
+	if (r->revision > w->revision)
+		w->revision = r->revision;
+}
+
+static void note_lost(struct config_watch *w, const struct store_reply *r)
+{
+	if (w->lost)
+		return;
+	w->lost = true;
+	EVENT(EVENT_WARNING, "config", "store_lost", EVENT_NUMBER("status", r->status),
+	      EVENT_NUMBER("version", w->board->config ? w->board->config->version : 0),
+	      EVENT_NUMBER("confirmed_ms_ago", config_confirmed_ms(w->board)));
+}
+
+static void note_back(struct config_watch *w)
+{
+	w->retry_ms = RETRY_MIN_MS;
+	if (!w->lost)
+		return;
+	w->lost = false;
+	EVENT(EVENT_INFO, "config", "store_back", EVENT_NUMBER("revision", w->revision));
+}
+
+static void on_retry(void *arg)
+{
+	struct config_watch *w = arg;
+
+	w->retry = NULL;
+	read_config(w);
+}
+
+static void retry(struct config_watch *w)
+{
+	uint64_t jitter = br_rng_below(&w->board->rng, w->retry_ms / 2 + 1);
+
+	timer_cancel(&w->retry);
+	w->retry = timer_start(w->board->loop, w->retry_ms + jitter, on_retry, w);
+	w->retry_ms = w->retry_ms * 2 < RETRY_MAX_MS ? w->retry_ms * 2 : RETRY_MAX_MS;
+}
+
+static void on_read(void *arg, const struct store_reply *r)
+{
+	struct config_watch *w = arg;
+
+	w->reading = false;
+	if (r->result != STORE_OK && r->result != STORE_NOT_FOUND) {
+		if (w->read_again) {
+			/* The watch that is under way goes on. */
+			w->read_again = false;
+			return;
+		}
+		note_lost(w, r);
+		retry(w);
+		return;
+	}
+	note_back(w);
+	take_items(w, r);
+	if (!w->board->config) {
+		retry(w);
+		return;
+	}
+	if (r->result == STORE_OK)
+		confirm(w->board, w->sent_us);
+	if (w->read_again) {
+		/* A watch is under way already; this read only fetched what a peer has. */
+		w->read_again = false;
+		return;
+	}
+	watch(w);
+}
+
+static void read_config(struct config_watch *w)
+{
+	w->sent_us = clock_now_us();
+	w->reading = true;
+	store_get(w->board->store, PLATFORM_CONFIG_KEY, READ_TIMEOUT_MS, on_read, w);
+}
+
+static void on_watch(void *arg, const struct store_reply *r)
+{
+	struct config_watch *w = arg;
+	uint64_t until_us;
+
+	if (r->result != STORE_OK) {
+		if (r->result != STORE_COMPACTED)
+			note_lost(w, r);
+		if (w->reading)
+			w->read_again = false;
+		else
+			read_config(w);
+		return;
+	}
+	note_back(w);
+	take_items(w, r);
+	/* Without news the store has waited to the end, all but what a compaction keeps back. */
+	until_us = w->sent_us;
+	if (!r->n_items && w->wait_ms > DEAF_MS)
+		until_us += (w->wait_ms - DEAF_MS) * BR_US_PER_MS;
+	confirm(w->board, until_us);
+	watch(w);
+}
+
+static void watch(struct config_watch *w)
+{
+	w->sent_us = clock_now_us();
+	store_watch(w->board->store, PLATFORM_CONFIG_KEY, w->revision, w->wait_ms,
+		    w->wait_ms + WATCH_EXTRA_MS, on_watch, w);
+}
+
+static void on_newer(void *ctx, uint64_t version)
+{
+	struct config_watch *w = ctx;
+
+	(void)version;
+	if (w->reading || w->retry || !w->board->config)
+		return;
+	w->read_again = true;
+	w->reading = true;
+	store_get(w->board->store, PLATFORM_CONFIG_KEY, READ_TIMEOUT_MS, on_read, w);
+}
+
+struct config_watch *config_watch_create(struct board *board)
+{
+	struct config_watch *w = xcalloc(1, sizeof(*w));
+
+	w->board = board;
+	w->retry_ms = RETRY_MIN_MS;
+	w->wait_ms = board->settings->revocation_ms / 2;
+	board->newer_seen = on_newer;
+	board->newer_ctx = w;
+	read_config(w);
+	return w;
+}
+
+void config_watch_destroy(struct config_watch *w)
+{
+	if (!w)
+		return;
+	timer_cancel(&w->retry);
+	w->board->newer_seen = NULL;
+	free(w);
+}
--- /dev/null
+++ b/mesh/job.c
@@ -0,0 +1,86 @@
+#include "mesh/job.h"
+
+#include "mesh/peer_format.h"
+#include "platform/fields.h"
+
+#include <string.h>
+#include <strings.h>
+
+static const char *const reasons[JOB_REASONS] = {
+	[JOB_REASON_NONE] = "none",
+	[JOB_REASON_NO_TARGET] = "no_target",
+	[JOB_REASON_DRAINING] = "draining",
+	[JOB_REASON_OVERLOAD] = "overload",
+	[JOB_REASON_SHED] = "shed",
+	[JOB_REASON_UNREACHABLE] = "unreachable",
+	[JOB_REASON_BROKEN] = "broken",
+	[JOB_REASON_UNSEALED] = "unsealed",
+	[JOB_REASON_TIMEOUT] = "timeout",
+	[JOB_REASON_STOPPING] = "stopping",
+};
+
+void job_cancel(struct job *job)
+{
+	if (job->cancel)
+		job->cancel(job);
+	job->cancel = NULL;
+}
+
+const char *job_reason_text(enum job_reason reason)
+{
+	return reasons[reason];
+}
+
+enum job_reason job_reason_of(const char *text)
+{
+	for (int i = 0; i < JOB_REASONS; i++)
+		if (!strcmp(reasons[i], text))
+			return (enum job_reason)i;
+	return JOB_REASON_BROKEN;
+}
+
+static bool forwarded(const char *name)
+{
+	switch (platform_field_of(name)) {
+	case PLATFORM_FIELD_TIME_LEFT_MS:
+	case PLATFORM_FIELD_CALLER_KEY:
+	case PLATFORM_FIELD_ACCOUNT:
+	case PLATFORM_FIELD_CALLER_SERVICE:
+	case PLATFORM_FIELD_TARGET_ID:
+		return false;
+	default:
+		return !http_field_is_hop(name) && strcasecmp(name, PEER_JOB_FIELD) != 0;
+	}
+}
+
+/* A field that the sender names in Connection concerns only that connection. */
+static bool named_in(const char *list, const char *name)
+{
+	size_t len = strlen(name);
+
+	while (list && *list) {
+		size_t n = strcspn(list, ", ");
+
+		if (n == len && !strncasecmp(list, name, n))
+			return true;
+		list += n;
+		list += strspn(list, ", ");
+	}
+	return false;
+}
+
+void job_write_head(struct buf *b, const struct http_msg *m)
+{
+	const char *connection = http_msg_find(m, "connection");
+
+	buf_printf(b, "%s %s HTTP/1.1\r\n", http_method_text(m->method), http_msg_target(m));
+	for (uint32_t i = 0; i < m->n_fields; i++) {
+		const char *name = http_msg_name(m, i);
+
+		if (forwarded(name) && !named_in(connection, name))
+			buf_printf(b, "%s: %s\r\n", name, http_msg_value(m, i));
+	}
+	if (m->body.len || http_msg_find(m, "content-length") ||
+	    http_msg_find(m, "transfer-encoding"))
+		buf_printf(b, "Content-Length: %zu\r\n", m->body.len);
+}
--- /dev/null
+++ b/mesh/main.c
@@ -0,0 +1,204 @@
+#include "briarreel/error.h"
+#include "common/clock.h"
+#include "mesh/board.h"
+#include "mesh/caller.h"
+#include "mesh/config_watch.h"
+#include "mesh/event_log.h"
+#include "mesh/members.h"
+#include "mesh/peer.h"
+#include "mesh/presence.h"
+#include "mesh/quota.h"
+#include "mesh/request.h"
+#include "mesh/service.h"
+#include "mesh/target.h"
+#include "net/timer.h"
+#include "platform/decode.h"
+#include "platform/store.h"
+
+#include <popt.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SWEEP_MS 500
+#define STOP_CHECK_MS 50
+/* The platform asks once a second, and two misses take a node out of the callers' lists. */
+#define STOP_NOTICED_MS 2300
+/* The process ends this much before it would be killed. */
+#define STOP_MARGIN_MS 350
+
+struct node {
+	struct board board;
+	struct mesh_settings settings;
+	const char *settings_path;
+	struct config_watch *config_watch;
+	struct presence *presence;
+	struct peer_server *peers;
+	struct caller_server *callers;
+	struct service_server *service;
+	uv_signal_t term, hup;
+	uint64_t stop_us;
+	bool leaving;
+};
+
+static void on_target_changed(void *ctx)
+{
+	struct node *n = ctx;
+
+	if (n->presence)
+		presence_changed(n->presence);
+}
+
+static void on_sweep(void *arg)
+{
+	struct node *n = arg;
+
+	target_tick(n->board.target);
+	members_sweep(n->board.members);
+	peer_server_sweep(n->peers);
+	caller_server_sweep(n->callers);
+	store_sweep(n->board.store);
+}
+
+static void end_process(void *ctx)
+{
+	struct node *n = ctx;
+
+	EVENT(EVENT_INFO, "node", "stopped",
+	      EVENT_NUMBER("after_ms", (clock_now_us() - n->stop_us) / BR_US_PER_MS),
+	      EVENT_NUMBER("unfinished", request_active() + peer_server_active(n->peers)));
+	event_log_flush();
+	exit(0);
+}
+
+static void on_stop_check(void *arg)
+{
+	struct node *n = arg;
+	uint64_t ms = (clock_now_us() - n->stop_us) / BR_US_PER_MS;
+	bool quiet = !request_active() && !peer_server_active(n->peers) &&
+		     caller_server_quiet(n->callers);
+
+	if (ms + STOP_MARGIN_MS >= n->settings.grace_ms)
+		end_process(n);
+	if (quiet && ms >= STOP_NOTICED_MS && !n->leaving) {
+		n->leaving = true;
+		presence_leave(n->presence, end_process, n);
+	}
+}
+
+static void on_term(uv_signal_t *handle, int signum)
+{
+	struct node *n = handle->data;
+
+	(void)signum;
+	if (n->board.stopping)
+		return;
+	EVENT(EVENT_INFO, "node", "stopping", EVENT_NUMBER("requests", request_active()),
+	      EVENT_NUMBER("jobs", peer_server_active(n->peers)));
+	n->board.stopping = true;
+	n->stop_us = clock_now_us();
+	presence_changed(n->presence);
+	timer_repeat(n->board.loop, STOP_CHECK_MS, on_stop_check, n);
+}
+
+static void on_hup(uv_signal_t *handle, int signum)
+{
+	struct node *n = handle->data;
+	struct mesh_settings read;
+	struct br_error err = {0};
+
+	(void)signum;
+	if (platform_read_settings(n->settings_path, &read, &err)) {
+		EVENT(EVENT_ERROR, "node", "reload_failed", EVENT_TEXT("error", err.detail));
+		return;
+	}
+	/* Addresses stay as they are until a restart; bounds take effect at once. */
+	n->settings.revocation_ms = read.revocation_ms;
+	n->settings.drain_ms = read.drain_ms;
+	n->settings.grace_ms = read.grace_ms;
+	n->settings.propagation_ms = read.propagation_ms;
+	n->settings.budget_ratio = read.budget_ratio;
+	n->settings.budget_window_ms = read.budget_window_ms;
+	n->settings.budget_extra = read.budget_extra;
+	EVENT(EVENT_INFO, "node", "reloaded", EVENT_TEXT("file", n->settings_path));
+}
+
+static void watch_signals(struct node *n)
+{
+	signal(SIGPIPE, SIG_IGN);
+	uv_signal_init(n->board.loop, &n->term);
+	uv_signal_init(n->board.loop, &n->hup);
+	n->term.data = n;
+	n->hup.data = n;
+	uv_signal_start(&n->term, on_term, SIGTERM);
+	uv_signal_start(&n->hup, on_hup, SIGHUP);
+}
+
+static int start(struct node *n)
+{
+	struct board *b = &n->board;
+
+	b->loop = uv_default_loop();
+	b->settings = &n->settings;
+	br_rng_seed(&b->rng, br_hash_str(n->settings.node, clock_now_us() ^ clock_wall_ms()));
+	event_log_start(b->loop, n->settings.node);
+	EVENT(EVENT_INFO, "node", "started", EVENT_TEXT("version", BR_VERSION),
+	      EVENT_TEXT("zone", n->settings.zone), EVENT_TEXT("service", n->settings.service));
+	watch_signals(n);
+	b->balance = br_balance_create(0);
+	BR_INVARIANT(b->balance);
+	b->store = store_create(b->loop, &n->settings.store_addr);
+	b->members = members_create(b);
+	b->target = target_create(b, on_target_changed, n);
+	b->quota = quota_create(b);
+	n->config_watch = config_watch_create(b);
+	n->presence = presence_create(b);
+	n->peers = peer_server_create(b);
+	n->service = service_server_create(b);
+	n->callers = caller_server_create(b);
+	if (!n->peers || !n->service || !n->callers) {
+		EVENT(EVENT_ERROR, "node", "listen_failed", EVENT_TEXT("step", "start"));
+		event_log_flush();
+		return -1;
+	}
+	timer_repeat(b->loop, SWEEP_MS, on_sweep, n);
+	return 0;
+}
+
+int main(int argc, const char **argv)
+{
+	static struct node node;
+	int check = 0;
+	char *path = NULL;
+	struct poptOption options[] = {
+		{"settings", 's', POPT_ARG_STRING, &path, 0, "settings file of the platform", "FILE"},
+		{"check", 'c', POPT_ARG_NONE, &check, 0, "check the settings and exit", NULL},
+		POPT_AUTOHELP POPT_TABLEEND};
+	poptContext popt = poptGetContext("briarreel-mesh", argc, argv, options, 0);
+	struct br_error err = {0};
+	int rc = poptGetNextOpt(popt);
+
+	if (rc < -1 || poptPeekArg(popt)) {
+		fprintf(stderr, "briarreel-mesh: %s\n",
+			rc < -1 ? poptStrerror(rc) : "takes no arguments; see --help");
+		return 2;
+	}
+	node.settings_path = path ? path : getenv(PLATFORM_SETTINGS_ENV);
+	if (!node.settings_path) {
+		fprintf(stderr, "briarreel-mesh: no settings file: give --settings or set %s\n",
+			PLATFORM_SETTINGS_ENV);
+		return 2;
+	}
+	if (platform_read_settings(node.settings_path, &node.settings, &err)) {
+		fprintf(stderr, "briarreel-mesh: %s\n", err.detail);
+		return 2;
+	}
+	poptFreeContext(popt);
+	if (check)
+		return 0;
+	if (sodium_init() < 0 || start(&node))
+		return 1;
+	return uv_run(node.board.loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/mesh/members.h
@@ -0,0 +1,54 @@
+/**
+ * @file members.h
+ * The nodes of the mesh and their targets, as the store's entries tell them.
+ */
+#ifndef MESH_MEMBERS_H
+#define MESH_MEMBERS_H
+
+#include "mesh/board.h"
+#include "mesh/target.h"
+
+/** Prefix of the entries of nodes in the store; the node's name follows. */
+#define MEMBERS_PREFIX "mesh/node/"
+
+struct member {
+	char node[BR_NAME_BYTES];
+	char zone[BR_NAME_BYTES];
+	/** Identifies the member in the balancer: its peer address. */
+	struct br_node_id id;
+	struct sockaddr_in addr;
+	struct target_status target;
+	/** Connections to the member's peer port. */
+	struct http_pool *pool;
+	uint64_t joined_us;
+	/** Time at which its entry disappeared, or 0. */
+	uint64_t missing_us;
+	/** Last whole answer of the member. */
+	uint64_t answered_us;
+	bool self;
+};
+
+struct members *members_create(struct board *board);
+void members_destroy(struct members *ms);
+
+/** Writes the entry of a node with the given target. */
+void members_write_entry(struct buf *b, const struct mesh_settings *s,
+			 const struct target_status *target, bool stopping);
+
+/** Takes an entry; one that cannot be read names no member. */
+void members_put(struct members *ms, const char *node, const char *value, size_t len);
+
+/** Notes that an entry has disappeared. */
+void members_missing(struct members *ms, const char *node);
+
+/** Marks all members as missing that were not put since the time. */
+void members_missing_since(struct members *ms, uint64_t since_us);
+
+/** Drops members that are missing for long and do not answer; call about once a second. */
+void members_sweep(struct members *ms);
+
+size_t members_count(const struct members *ms);
+struct member *members_at(struct members *ms, size_t i);
+struct member *members_find(struct members *ms, const char *node);
+
+#endif
--- /dev/null
+++ b/mesh/model.c
@@ -0,0 +1,131 @@
+#include "mesh/model.h"
+
+#include "net/buf.h"
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOST_BYTES 256
+
+struct mesh_config *mesh_config_ref(struct mesh_config *c)
+{
+	c->refs++;
+	return c;
+}
+
+void mesh_config_unref(struct mesh_config *c)
+{
+	if (!c || --c->refs)
+		return;
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		free(c->routes[i].name);
+		free(c->routes[i].host);
+		free(c->routes[i].prefix);
+		free(c->routes[i].parts);
+	}
+	for (uint32_t i = 0; i < c->n_services; i++)
+		free(c->services[i].name);
+	for (uint32_t i = 0; i < c->n_accounts; i++)
+		free(c->accounts[i].name);
+	for (uint32_t i = 0; i < c->n_keys; i++)
+		free(c->keys[i].text);
+	free(c->routes);
+	free(c->services);
+	free(c->accounts);
+	free(c->keys);
+	free(c);
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	return strcmp(((const struct mesh_key *)a)->text, ((const struct mesh_key *)b)->text);
+}
+
+/* Lower case, without the port. */
+static uint64_t host_hash(const char *host)
+{
+	char plain[HOST_BYTES];
+	size_t n = 0;
+
+	for (; host[n] && host[n] != ':' && n < sizeof(plain) - 1; n++)
+		plain[n] = (char)tolower((unsigned char)host[n]);
+	return br_hash64(plain, n, 0);
+}
+
+void mesh_config_index(struct mesh_config *c)
+{
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		c->routes[i].host_hash = host_hash(c->routes[i].host);
+		c->routes[i].prefix_len = strlen(c->routes[i].prefix);
+	}
+	for (uint32_t i = 0; i < c->n_accounts; i++)
+		c->accounts[i].name_hash = br_hash_str(c->accounts[i].name, 0);
+	if (c->n_keys)
+		qsort(c->keys, c->n_keys, sizeof(*c->keys), compare_keys);
+}
+
+const struct mesh_route *mesh_config_route(const struct mesh_config *c, const char *host,
+					   const char *path)
+{
+	const struct mesh_route *best = NULL;
+	uint64_t hash = host_hash(host);
+
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		const struct mesh_route *r = &c->routes[i];
+
+		if (r->host_hash != hash || strncmp(path, r->prefix, r->prefix_len) != 0)
+			continue;
+		if (!best || r->prefix_len > best->prefix_len)
+			best = r;
+	}
+	return best;
+}
+
+int mesh_config_account(const struct mesh_config *c, const char *key)
+{
+	struct mesh_key wanted = {.text = (char *)key};
+	const struct mesh_key *found;
+
+	if (!c->n_keys)
+		return -1;
+	found = bsearch(&wanted, c->keys, c->n_keys, sizeof(*c->keys), compare_keys);
+	return found ? (int)found->account : -1;
+}
+
+int mesh_config_service(const struct mesh_config *c, const char *name)
+{
+	for (uint32_t i = 0; i < c->n_services; i++)
+		if (!strcmp(c->services[i].name, name))
+			return (int)i;
+	return -1;
+}
+
+int mesh_parse_addr(const char *text, struct sockaddr_in *out)
+{
+	char ip[INET_ADDRSTRLEN];
+	const char *colon = strrchr(text, ':');
+	char *end;
+	unsigned long port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(ip))
+		return -EINVAL;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	if (*end || end == colon + 1 || !port || port > UINT16_MAX)
+		return -EINVAL;
+	*out = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -EINVAL;
+}
+
+void mesh_format_addr(const struct sockaddr_in *addr, char *out, size_t out_bytes)
+{
+	char ip[INET_ADDRSTRLEN] = "";
+
+	inet_ntop(AF_INET, &addr->sin_addr, ip, sizeof(ip));
+	snprintf(out, out_bytes, "%s:%u", ip, ntohs(addr->sin_port));
+}
--- /dev/null
+++ b/mesh/model.h
@@ -0,0 +1,159 @@
+/**
+ * @file model.h
+ * What a mesh node knows: its settings, the operator's configuration and the reports of its
+ * backend. The platform folder decodes its messages into these types.
+ */
+#ifndef MESH_MODEL_H
+#define MESH_MODEL_H
+
+#include "briarreel/types.h"
+
+#include <netinet/in.h>
+
+/** Settings of this process; times in milliseconds. */
+struct mesh_settings {
+	char node[BR_NAME_BYTES];
+	char zone[BR_NAME_BYTES];
+	/** Service of the target on this VM. */
+	char service[BR_NAME_BYTES];
+	/** Where callers on this VM send requests. */
+	struct sockaddr_in caller_addr;
+	/** Where other nodes send requests for the target of this VM. */
+	struct sockaddr_in peer_addr;
+	struct sockaddr_in ready_addr;
+	/** Where the target reports its state. */
+	struct sockaddr_in report_addr;
+	struct sockaddr_in target_addr;
+	struct sockaddr_in store_addr;
+	/** First port of the range for messages between nodes. */
+	uint16_t mesh_port;
+	/** Last port of the range; metrics are served there. */
+	uint16_t metrics_port;
+	uint64_t memory_bytes;
+	/** Shortest lifetime of a lease that the store grants. */
+	uint64_t lease_min_ms;
+	/** A withdrawn key must not work this long after the withdrawal. */
+	uint64_t revocation_ms;
+	/** Nothing reaches a target this long after its leaving was acknowledged. */
+	uint64_t drain_ms;
+	/** From SIGTERM to SIGKILL. */
+	uint64_t grace_ms;
+	/** A configuration must be in force this long after its acknowledgement. */
+	uint64_t propagation_ms;
+	/** Repeats of a service may be this part of its requests, plus budget_extra a window. */
+	double budget_ratio;
+	uint64_t budget_window_ms;
+	uint32_t budget_extra;
+};
+
+/** One of the services among which a route's requests are split. */
+struct mesh_part {
+	uint32_t service;
+	uint32_t weight;
+};
+
+struct mesh_route {
+	char *name, *host, *prefix;
+	uint64_t host_hash;
+	size_t prefix_len;
+	/** Requests may run more than once. */
+	bool idempotent;
+	/** Needs no key. */
+	bool open;
+	uint8_t priority;
+	/** Most targets to which one request may be sent. */
+	uint32_t attempts;
+	/** Longest time without an answer; 0 for none. */
+	uint64_t timeout_ms;
+	/** Time within which an answer has its full value; 0 if unknown. */
+	uint64_t objective_ms;
+	struct mesh_part *parts;
+	uint32_t n_parts;
+};
+
+struct mesh_service {
+	char *name;
+	/** Most connections that a target accepts; 0 if unknown. */
+	uint32_t connections;
+};
+
+struct mesh_account {
+	char *name;
+	uint64_t name_hash;
+	bool has_priority;
+	uint8_t priority;
+	/** 0 for no limit. */
+	double rate_per_s;
+	double burst;
+};
+
+struct mesh_key {
+	char *text;
+	uint32_t account;
+};
+
+/** One version of the operator's configuration. Immutable; shared by reference count. */
+struct mesh_config {
+	uint32_t refs;
+	uint64_t version;
+	struct mesh_route *routes;
+	uint32_t n_routes;
+	struct mesh_service *services;
+	uint32_t n_services;
+	struct mesh_account *accounts;
+	uint32_t n_accounts;
+	/** Sorted by text. */
+	struct mesh_key *keys;
+	uint32_t n_keys;
+	uint32_t header_bytes;
+	uint64_t body_bytes;
+	uint64_t header_timeout_ms, idle_timeout_ms;
+};
+
+enum target_state {
+	TARGET_READY,
+	/** The target will leave: it gets no new work. */
+	TARGET_DRAINING,
+};
+
+/** What a target says of itself. */
+struct target_report {
+	char id[BR_NAME_BYTES];
+	char service[BR_NAME_BYTES];
+	struct sockaddr_in addr;
+	enum target_state state;
+	uint32_t slots;
+	/** Time for which the target stays slow after its start. */
+	uint64_t cold_ms;
+	/** Grows with each report of one incarnation. */
+	uint64_t sequence;
+	/** Start of the incarnation, in milliseconds since the Unix epoch; 0 if not told. */
+	uint64_t born_ms;
+};
+
+/** Takes a reference. */
+struct mesh_config *mesh_config_ref(struct mesh_config *c);
+
+/** Drops a reference; NULL is allowed. */
+void mesh_config_unref(struct mesh_config *c);
+
+/** Sorts what lookups need sorted; call once after decoding. */
+void mesh_config_index(struct mesh_config *c);
+
+/** Route with the longest prefix for host (without port) and path, or NULL. */
+const struct mesh_route *mesh_config_route(const struct mesh_config *c, const char *host,
+					   const char *path);
+
+/** Index of the account that holds a key, or -1. */
+int mesh_config_account(const struct mesh_config *c, const char *key);
+
+/** Index of a service, or -1. */
+int mesh_config_service(const struct mesh_config *c, const char *name);
+
+/** Parses "ip:port". Returns 0 or -EINVAL. */
+int mesh_parse_addr(const char *text, struct sockaddr_in *out);
+
+/** Writes "ip:port". */
+void mesh_format_addr(const struct sockaddr_in *addr, char *out, size_t out_bytes);
+
+#endif
--- /dev/null
+++ b/mesh/peer.c
@@ -0,0 +1,340 @@
+#include "mesh/peer.h"
+
+#include "common/clock.h"
+#include "mesh/config_watch.h"
+#include "mesh/peer_format.h"
+#include "platform/fields.h"
+
+#include <errno.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+/* The other node's answer to a deadline that has passed arrives within this time. */
+#define ANSWER_MARGIN_MS 150
+
+static struct job *job_of(struct http_call *call)
+{
+	return (struct job *)((char *)call - offsetof(struct job, call));
+}
+
+static void end_job(struct job *job, enum job_result result, enum job_reason reason,
+		    struct http_msg *answer, bool reached)
+{
+	struct job_end end = {
+		.result = result, .reason = reason, .answer = answer, .reached = reached};
+
+	job->cancel = NULL;
+	job->done(job, &end);
+}
+
+/*
+ * A balancer entry of the member exists as long as this job is noted as started, even if the member
+ * is removed meanwhile.
+ */
+static void note_answer(struct board *board, const struct br_node_id *id,
+			const struct peer_end *end, uint64_t now_us)
+{
+	br_balance_note_report(board->balance, id, end->in_flight + end->queued, end->limit, now_us);
+	config_confirmed_elsewhere(board, end->version, end->confirmed_ms);
+}
+
+/** What the callbacks of a job at another node need. */
+struct peer_run {
+	struct board *board;
+	struct br_node_id id;
+	char node[BR_NAME_BYTES];
+};
+
+static void finish(struct job *job, enum br_balance_end how)
+{
+	struct peer_run *run = job->runner;
+	struct member *m = members_find(run->board->members, run->node);
+
+	br_balance_note_end(run->board->balance, &run->id, how, clock_now_us());
+	if (m && how != BR_BALANCE_CANCELLED && how != BR_BALANCE_ERROR)
+		m->answered_us = clock_now_us();
+	free(run);
+	job->runner = NULL;
+}
+
+static enum br_balance_end balance_end(const struct peer_end *end, const struct http_msg *answer)
+{
+	switch (end->result) {
+	case JOB_ANSWERED:
+		return answer->status >= 500 ? BR_BALANCE_ERROR : BR_BALANCE_OK;
+	case JOB_NOT_RUN:
+		return BR_BALANCE_REFUSED;
+	case JOB_LOST:
+		break;
+	}
+	return BR_BALANCE_ERROR;
+}
+
+static void on_done(struct http_call *call, enum http_call_fate fate, struct http_msg *msg, int err)
+{
+	struct job *job = job_of(call);
+	struct peer_run *run = job->runner;
+	const char *text = msg ? http_msg_find(msg, PEER_END_FIELD) : NULL;
+	uint64_t now_us = clock_now_us();
+	struct peer_end end;
+
+	if (fate == HTTP_CALL_NOT_SENT) {
+		br_balance_note_failure(run->board->balance, &run->id, now_us);
+		finish(job, BR_BALANCE_CANCELLED);
+		end_job(job, JOB_NOT_RUN, JOB_REASON_UNREACHABLE, NULL, false);
+		return;
+	}
+	if (!text || peer_read_end(text, &end)) {
+		if (err)
+			br_balance_note_failure(run->board->balance, &run->id, now_us);
+		finish(job, BR_BALANCE_ERROR);
+		http_msg_destroy(msg);
+		end_job(job, JOB_LOST, err == -ETIMEDOUT ? JOB_REASON_TIMEOUT : JOB_REASON_BROKEN,
+			NULL, true);
+		return;
+	}
+	note_answer(run->board, &run->id, &end, now_us);
+	if (end.reason == JOB_REASON_UNREACHABLE || end.reason == JOB_REASON_DRAINING ||
+	    end.reason == JOB_REASON_NO_TARGET)
+		br_balance_note_failure(run->board->balance, &run->id, now_us);
+	finish(job, balance_end(&end, msg));
+	if (end.result != JOB_ANSWERED) {
+		http_msg_destroy(msg);
+		msg = NULL;
+	}
+	end_job(job, end.result, end.reason, msg, end.reached);
+}
+
+static void cancel(struct job *job)
+{
+	http_call_cancel(&job->call);
+	finish(job, BR_BALANCE_CANCELLED);
+}
+
+static uint64_t version_of(const struct board *board)
+{
+	return board->config ? board->config->version : 0;
+}
+
+void peer_run(struct board *board, struct member *m, struct job *job)
+{
+	uint64_t now_us = clock_now_us();
+	struct buf b = {0};
+	struct peer_run *run;
+
+	if (m->self) {
+		target_run(board->target, job);
+		return;
+	}
+	run = xcalloc(1, sizeof(*run));
+	run->board = board;
+	run->id = m->id;
+	br_copy_text(run->node, sizeof(run->node), m->node);
+	BR_INVARIANT(!br_balance_note_start(board->balance, &m->id, now_us));
+	job->runner = run;
+	job->cancel = cancel;
+	job->call = (struct http_call){
+		.done = on_done,
+		.timeout_ms = (job->deadline_us > now_us ? (job->deadline_us - now_us) / 1000 : 0) +
+			      ANSWER_MARGIN_MS,
+	};
+	job_write_head(&b, job->msg);
+	peer_write_job(&b, job, version_of(board), config_confirmed_ms(board), now_us);
+	buf_text(&b, "\r\n");
+	buf_append(&b, job->msg->body.data, job->msg->body.len);
+	http_pool_send(m->pool, &job->call, &b);
+}
+
+/* The receiving end. */
+
+#define REQUEST_HEADER_BYTES 131072
+#define REQUEST_BODY_BYTES (128ULL * 1024 * 1024)
+/* Longer than the sending end keeps idle connections. */
+#define SERVER_IDLE_US (15 * BR_US_PER_S)
+
+struct peer_conn {
+	struct peer_server *server;
+	struct http_conn *conn;
+	struct peer_conn *prev, *next;
+	/** The job that the connection carries, if any. */
+	struct http_msg *msg;
+	struct peer_job head;
+	struct job job;
+	bool busy;
+};
+
+struct peer_server {
+	struct board *board;
+	uv_tcp_t listener;
+	struct peer_conn *conns;
+	uint32_t active;
+};
+
+static void free_conn(struct peer_conn *pc)
+{
+	if (pc->busy) {
+		job_cancel(&pc->job);
+		pc->server->active--;
+	}
+	http_msg_destroy(pc->msg);
+	if (pc->prev)
+		pc->prev->next = pc->next;
+	else
+		pc->server->conns = pc->next;
+	if (pc->next)
+		pc->next->prev = pc->prev;
+	free(pc);
+}
+
+static void write_answer(struct peer_conn *pc, const struct job_end *end)
+{
+	struct board *board = pc->server->board;
+	struct peer_end head = {.result = end->result,
+				.reason = end->reason,
+				.reached = end->reached,
+				.version = version_of(board),
+				.confirmed_ms = config_confirmed_ms(board)};
+	const struct http_msg *m = end->answer;
+	struct buf b = {0};
+
+	target_load(board->target, &head);
+	buf_printf(&b, "HTTP/1.1 %u %s\r\n", m ? m->status : 503,
+		   http_reason(m ? m->status : 503));
+	peer_write_end(&b, &head);
+	for (uint32_t i = 0; m && i < m->n_fields; i++)
+		if (!http_field_is_hop(http_msg_name(m, i)))
+			buf_printf(&b, "%s: %s\r\n", http_msg_name(m, i), http_msg_value(m, i));
+	buf_printf(&b, "Content-Length: %zu\r\n\r\n", m ? m->body.len : 0);
+	if (m)
+		buf_append(&b, m->body.data, m->body.len);
+	http_conn_send(pc->conn, &b);
+}
+
+static void on_job_done(struct job *job, const struct job_end *end)
+{
+	struct peer_conn *pc = (struct peer_conn *)((char *)job - offsetof(struct peer_conn, job));
+
+	pc->busy = false;
+	pc->server->active--;
+	write_answer(pc, end);
+	http_msg_destroy(end->answer);
+	http_msg_destroy(pc->msg);
+	pc->msg = NULL;
+}
+
+static void refuse_malformed(struct peer_conn *pc)
+{
+	struct buf b = {0};
+
+	buf_text(&b, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+	http_conn_send(pc->conn, &b);
+	http_conn_finish(pc->conn);
+	free_conn(pc);
+}
+
+static void on_message(struct http_conn *c, struct http_msg *m)
+{
+	struct peer_conn *pc = http_conn_owner(c);
+	struct board *board = pc->server->board;
+	const char *text = http_msg_find(m, PEER_JOB_FIELD);
+	const char *id = http_msg_find(m, platform_field_name(PLATFORM_FIELD_REQUEST_ID));
+	uint64_t now_us = clock_now_us();
+
+	if (pc->busy || !text || peer_read_job(text, &pc->head)) {
+		http_msg_destroy(m);
+		refuse_malformed(pc);
+		return;
+	}
+	config_confirmed_elsewhere(board, pc->head.version, pc->head.confirmed_ms);
+	pc->msg = m;
+	pc->busy = true;
+	pc->server->active++;
+	pc->job = (struct job){
+		.msg = m,
+		.id = id ? id : "",
+		.target = pc->head.target,
+		.account = pc->head.account,
+		.caller_service = pc->head.caller_service,
+		.account_hash = pc->head.account_hash,
+		.route_hash = pc->head.route_hash,
+		.deadline_us = now_us + pc->head.left_ms * BR_US_PER_MS,
+		.queue_until_us = now_us + pc->head.queue_ms * BR_US_PER_MS,
+		.priority = pc->head.priority,
+		.idempotent = pc->head.idempotent,
+		.done = on_job_done,
+	};
+	target_run(board->target, &pc->job);
+}
+
+static void on_closed(struct http_conn *c, int err, uint16_t status)
+{
+	(void)err;
+	(void)status;
+	free_conn(http_conn_owner(c));
+}
+
+static const struct http_conn_ops server_ops = {.message = on_message, .closed = on_closed};
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct peer_server *s = listener->data;
+	struct http_limits limits = {.header_bytes = REQUEST_HEADER_BYTES,
+				     .body_bytes = REQUEST_BODY_BYTES};
+	struct peer_conn *pc;
+
+	if (status)
+		return;
+	pc = xcalloc(1, sizeof(*pc));
+	pc->server = s;
+	pc->conn = http_conn_accept(listener, &server_ops, &limits, pc);
+	if (!pc->conn) {
+		free(pc);
+		return;
+	}
+	pc->next = s->conns;
+	if (pc->next)
+		pc->next->prev = pc;
+	s->conns = pc;
+}
+
+struct peer_server *peer_server_create(struct board *board)
+{
+	struct peer_server *s = xcalloc(1, sizeof(*s));
+
+	s->board = board;
+	if (http_listen(board->loop, &s->listener, &board->settings->peer_addr, on_accept, s)) {
+		free(s);
+		return NULL;
+	}
+	return s;
+}
+
+void peer_server_destroy(struct peer_server *s)
+{
+	if (!s)
+		return;
+	uv_close((uv_handle_t *)&s->listener, NULL);
+	while (s->conns) {
+		http_conn_close(s->conns->conn);
+		free_conn(s->conns);
+	}
+}
+
+uint32_t peer_server_active(const struct peer_server *s)
+{
+	return s->active;
+}
+
+void peer_server_sweep(struct peer_server *s)
+{
+	struct peer_conn *next;
+	uint64_t now_us = clock_now_us();
+
+	for (struct peer_conn *pc = s->conns; pc; pc = next) {
+		next = pc->next;
+		if (pc->busy || now_us - http_conn_received_us(pc->conn) < SERVER_IDLE_US)
+			continue;
+		http_conn_close(pc->conn);
+		free_conn(pc);
+	}
+}
--- /dev/null
+++ b/mesh/peer_format.c
@@ -0,0 +1,78 @@
+#include "mesh/peer_format.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Stands for a text that is empty. */
+#define NO_TEXT "-"
+
+static const char *text_or_none(const char *text)
+{
+	return *text ? text : NO_TEXT;
+}
+
+static void none_to_empty(char *text)
+{
+	if (!strcmp(text, NO_TEXT))
+		*text = '\0';
+}
+
+static uint64_t left_ms(uint64_t until_us, uint64_t now_us)
+{
+	return until_us > now_us ? (until_us - now_us) / BR_US_PER_MS : 0;
+}
+
+void peer_write_job(struct buf *b, const struct job *job, uint64_t version, uint64_t confirmed_ms,
+		    uint64_t now_us)
+{
+	buf_printf(b,
+		   PEER_JOB_FIELD ": %" PRIu64 " %" PRIu64 " %" PRIu64 " %" PRIu64 " %" PRIx64
+				  " %" PRIx64 " %u %u %s %s %s\r\n",
+		   left_ms(job->deadline_us, now_us), left_ms(job->queue_until_us, now_us), version,
+		   confirmed_ms,
+		   job->account_hash, job->route_hash, job->priority, job->idempotent,
+		   text_or_none(job->target), text_or_none(job->account),
+		   text_or_none(job->caller_service));
+}
+
+int peer_read_job(const char *text, struct peer_job *out)
+{
+	unsigned int priority, idempotent;
+
+	if (sscanf(text,
+		   "%" SCNu64 " %" SCNu64 " %" SCNu64 " %" SCNu64 " %" SCNx64 " %" SCNx64 " %u %u %63s %63s %63s",
+		   &out->left_ms, &out->queue_ms, &out->version,
+		   &out->confirmed_ms, &out->account_hash, &out->route_hash, &priority, &idempotent, out->target, out->account,
+		   out->caller_service) != 11)
+		return -EINVAL;
+	out->priority = (uint8_t)(priority < BR_PRIORITIES ? priority : BR_PRIORITIES - 1);
+	out->idempotent = idempotent != 0;
+	none_to_empty(out->target);
+	none_to_empty(out->account);
+	none_to_empty(out->caller_service);
+	return 0;
+}
+
+void peer_write_end(struct buf *b, const struct peer_end *end)
+{
+	buf_printf(b, PEER_END_FIELD ": %d %s %d %u %u %u %" PRIu64 " %" PRIu64 "\r\n", (int)end->result,
+		   job_reason_text(end->reason), end->reached, end->in_flight, end->queued,
+		   end->limit, end->version, end->confirmed_ms);
+}
+
+int peer_read_end(const char *text, struct peer_end *out)
+{
+	char reason[BR_NAME_BYTES];
+	unsigned int result, reached;
+
+	if (sscanf(text, "%u %63s %u %u %u %u %" SCNu64 " %" SCNu64, &result, reason, &reached, &out->in_flight,
+		   &out->queued, &out->limit, &out->version, &out->confirmed_ms) != 8 ||
+	    result > JOB_LOST)
+		return -EINVAL;
+	out->result = (enum job_result)result;
+	out->reason = job_reason_of(reason);
+	out->reached = reached != 0;
+	return 0;
+}
--- /dev/null
+++ b/mesh/request.c
@@ -0,0 +1,502 @@
+#include "mesh/request.h"
+
+#include "briarreel/retry_budget.h"
+#include "common/clock.h"
+#include "mesh/config_watch.h"
+#include "mesh/event_log.h"
+#include "mesh/job.h"
+#include "mesh/members.h"
+#include "mesh/peer.h"
+#include "mesh/peer_format.h"
+#include "mesh/quota.h"
+#include "net/timer.h"
+#include "platform/fields.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A caller that does not say how long it waits. */
+#define TIME_LEFT_DEFAULT_MS 5000
+#define TIME_LEFT_MAX_MS 600000
+/* The targets' work ends this much before the route's timeout, so that their answer is in time. */
+#define WORK_MARGIN_MS 15
+/* An answer of the target to its own deadline is waited for this long. */
+#define ANSWER_MARGIN_MS 60
+/* Targets that are asked, at most, while each says that it has not run the request. */
+#define REFUSALS_MAX 3
+/* Part of the objective for which a request may wait in queues. */
+#define QUEUE_PART 4
+#define QUEUE_MIN_MS 10
+/* A refused caller comes back after this part of its time, spread so that not all come at once. */
+#define RETRY_AFTER_MIN_PERCENT 8
+#define RETRY_AFTER_SPREAD_PERCENT 20
+#define TRIED_MAX 8
+#define SERVICES_MAX 512
+
+struct request {
+	struct board *board;
+	struct http_msg *msg;
+	struct mesh_config *config;
+	const struct mesh_route *route;
+	const struct mesh_account *account;
+	request_done_cb done;
+	void *ctx;
+	struct request **slot;
+	char id[BR_REQUEST_ID_BYTES];
+	uint64_t arrived_us, caller_deadline_us, deadline_us, queue_until_us;
+	uint32_t service;
+	struct quota_wait quota_wait;
+	struct timer *timer;
+	struct job job;
+	bool job_active;
+	char target[BR_NAME_BYTES];
+	struct br_node_id tried[TRIED_MAX];
+	uint32_t n_tried, reached, refusals;
+	enum job_reason last_reason;
+};
+
+static uint32_t n_active;
+static struct br_retry_budget budgets[SERVICES_MAX];
+
+static void try_next(struct request *r);
+
+static const char *field(const struct request *r, enum platform_field f)
+{
+	return http_msg_find(r->msg, platform_field_name(f));
+}
+
+static void release(struct request *r)
+{
+	timer_cancel(&r->timer);
+	quota_cancel(r->board->quota, &r->quota_wait);
+	if (r->job_active)
+		job_cancel(&r->job);
+	*r->slot = NULL;
+	http_msg_destroy(r->msg);
+	mesh_config_unref(r->config);
+	n_active--;
+	free(r);
+}
+
+static void finish(struct request *r, struct request_answer *answer)
+{
+	r->done(r->ctx, r, answer);
+	buf_free(&answer->fields);
+	buf_free(&answer->body);
+	release(r);
+}
+
+static void answer_own(struct request *r, uint16_t status, uint64_t retry_after_ms,
+		       const char *why)
+{
+	struct request_answer a = {.status = status};
+	uint64_t now_us = clock_now_us();
+
+	EVENT(status >= 500 ? EVENT_WARNING : EVENT_INFO, "request",
+	      status == 503 || status == 429 ? "refused" : "failed", EVENT_TEXT("request", r->id),
+	      EVENT_TEXT("route", r->route ? r->route->name : ""),
+	      EVENT_TEXT("account", r->account ? r->account->name : ""),
+	      EVENT_NUMBER("status", status), EVENT_TEXT("why", why),
+	      EVENT_TEXT("last", job_reason_text(r->last_reason)),
+	      EVENT_NUMBER("after_ms", (now_us - r->arrived_us) / BR_US_PER_MS),
+	      EVENT_NUMBER("tries", r->n_tried), EVENT_NUMBER("reached", r->reached),
+	      EVENT_NUMBER("version", r->config ? r->config->version : 0),
+	      EVENT_NUMBER("confirmed_ms_ago", config_confirmed_ms(r->board)));
+	if (*r->id)
+		buf_printf(&a.fields, "%s: %s\r\n",
+			   platform_field_name(PLATFORM_FIELD_REQUEST_ID), r->id);
+	if (retry_after_ms)
+		buf_printf(&a.fields, "Retry-After: %" PRIu64 ".%03" PRIu64 "\r\n",
+			   retry_after_ms / 1000, retry_after_ms % 1000);
+	finish(r, &a);
+}
+
+static uint64_t retry_after_ms(struct request *r)
+{
+	uint64_t now_us = clock_now_us();
+	uint64_t left_ms = r->caller_deadline_us > now_us
+				   ? (r->caller_deadline_us - now_us) / BR_US_PER_MS
+				   : 0;
+	uint64_t percent = RETRY_AFTER_MIN_PERCENT +
+			   br_rng_below(&r->board->rng, RETRY_AFTER_SPREAD_PERCENT);
+
+	return left_ms * percent / 100 + 1;
+}
+
+/* The request has not run at any target and will not. */
+static void refuse(struct request *r, const char *why)
+{
+	board_count(r->board, COUNT_REFUSED);
+	answer_own(r, 503, retry_after_ms(r), why);
+}
+
+static void fail(struct request *r, uint16_t status, const char *why)
+{
+	board_count(r->board, status == 504 ? COUNT_TIMED_OUT : COUNT_FAILED);
+	answer_own(r, status, 0, why);
+}
+
+static void pass_answer(struct request *r, const struct http_msg *m)
+{
+	struct request_answer a = {.status = m->status};
+
+	board_count(r->board, COUNT_ANSWERED);
+	for (uint32_t i = 0; i < m->n_fields; i++) {
+		const char *name = http_msg_name(m, i);
+
+		if (!http_field_is_hop(name) && strcmp(name, PEER_END_FIELD) != 0)
+			buf_printf(&a.fields, "%s: %s\r\n", name, http_msg_value(m, i));
+	}
+	buf_append(&a.body, m->body.data, m->body.len);
+	if (m->status >= 500)
+		EVENT(EVENT_WARNING, "request", "target_failed", EVENT_TEXT("request", r->id),
+		      EVENT_TEXT("route", r->route->name), EVENT_TEXT("target", r->target),
+		      EVENT_NUMBER("status", m->status), EVENT_NUMBER("reached", r->reached),
+		      EVENT_NUMBER("after_ms",
+				   (clock_now_us() - r->arrived_us) / BR_US_PER_MS));
+	finish(r, &a);
+}
+
+static struct br_retry_budget_cfg budget_cfg(const struct board *b)
+{
+	return (struct br_retry_budget_cfg){.ratio = b->settings->budget_ratio,
+					    .extra = b->settings->budget_extra,
+					    .window_us = b->settings->budget_window_ms * 1000};
+}
+
+static uint32_t n_nodes(const struct board *b)
+{
+	return (uint32_t)members_count(b->members);
+}
+
+/* Budgets are told apart by the service's name, since indexes change with the configuration. */
+static struct br_retry_budget *budget_of(const struct request *r)
+{
+	const char *name = r->config->services[r->service].name;
+
+	return &budgets[br_hash_str(name, 0) % SERVICES_MAX];
+}
+
+static bool may_repeat(struct request *r)
+{
+	struct br_retry_budget_cfg cfg = budget_cfg(r->board);
+
+	if (!r->route->idempotent || r->reached >= r->route->attempts ||
+	    clock_now_us() >= r->deadline_us)
+		return false;
+	if (!br_retry_budget_take(budget_of(r), &cfg, n_nodes(r->board), clock_now_us())) {
+		board_count(r->board, COUNT_REPEATS_DENIED);
+		return false;
+	}
+	board_count(r->board, COUNT_REPEATS);
+	return true;
+}
+
+static void on_not_run(struct request *r, const struct job_end *end)
+{
+	r->refusals++;
+	if (end->reached && r->reached >= r->route->attempts) {
+		refuse(r, "each target that may be asked has refused");
+		return;
+	}
+	if (r->refusals >= REFUSALS_MAX || clock_now_us() >= r->queue_until_us) {
+		refuse(r, "targets have refused");
+		return;
+	}
+	/* A refusal by the target itself is an arrival there, and the next one a repeat. */
+	if (end->reached && !may_repeat(r)) {
+		refuse(r, "target has refused, no repeat left");
+		return;
+	}
+	try_next(r);
+}
+
+static void on_lost(struct request *r, const struct job_end *end)
+{
+	if (may_repeat(r)) {
+		try_next(r);
+		return;
+	}
+	if (end->reason == JOB_REASON_TIMEOUT || clock_now_us() >= r->deadline_us)
+		fail(r, 504, "no answer in time");
+	else
+		fail(r, 502, "answer lost");
+}
+
+static void on_job_done(struct job *job, const struct job_end *end)
+{
+	struct request *r = (struct request *)((char *)job - offsetof(struct request, job));
+	struct http_msg *answer = end->answer;
+
+	r->job_active = false;
+	r->last_reason = end->reason;
+	if (end->reached)
+		r->reached++;
+	switch (end->result) {
+	case JOB_ANSWERED:
+		if (answer->status >= 500 && answer->status != 504 && may_repeat(r))
+			try_next(r);
+		else
+			pass_answer(r, answer);
+		http_msg_destroy(answer);
+		break;
+	case JOB_NOT_RUN:
+		on_not_run(r, end);
+		break;
+	case JOB_LOST:
+		on_lost(r, end);
+		break;
+	}
+}
+
+static bool usable(const struct member *m, const char *service)
+{
+	return m->target.phase == TARGET_SERVING && !strcmp(m->target.service, service);
+}
+
+/* The balancer learns the load of other targets from their answers. */
+static void report_own_load(struct board *b, const struct member *self)
+{
+	uint64_t now_us = clock_now_us();
+	struct peer_end load = {0};
+
+	target_load(b->target, &load);
+	if (br_balance_note_start(b->balance, &self->id, now_us))
+		return;
+	br_balance_note_end(b->balance, &self->id, BR_BALANCE_CANCELLED, now_us);
+	br_balance_note_report(b->balance, &self->id, load.in_flight + load.queued, load.limit,
+			       now_us);
+}
+
+static struct member *choose(struct request *r)
+{
+	struct board *b = r->board;
+	const char *service = r->config->services[r->service].name;
+	size_t n = members_count(b->members), n_candidates = 0;
+	struct br_balance_candidate *candidates = xcalloc(n, sizeof(*candidates));
+	size_t *index = xcalloc(n, sizeof(*index));
+	struct member *chosen = NULL;
+	int at;
+
+	for (size_t i = 0; i < n; i++) {
+		struct member *m = members_at(b->members, i);
+
+		if (!usable(m, service))
+			continue;
+		if (m->self)
+			report_own_load(b, m);
+		candidates[n_candidates] = (struct br_balance_candidate){
+			.id = m->id, .zone = m->zone, .joined_us = m->joined_us};
+		index[n_candidates++] = i;
+	}
+	at = n_candidates ? br_balance_pick(b->balance, candidates, n_candidates, b->settings->zone,
+					    r->tried, r->n_tried, &b->rng, clock_now_us())
+			  : -1;
+	if (at >= 0)
+		chosen = members_at(b->members, index[at]);
+	free(candidates);
+	free(index);
+	return chosen;
+}
+
+static void try_next(struct request *r)
+{
+	struct member *m = r->n_tried < TRIED_MAX ? choose(r) : NULL;
+
+	if (!m) {
+		if (r->reached && r->last_reason != JOB_REASON_SHED)
+			fail(r, 502, "no other target");
+		else
+			refuse(r, "no target is known to serve");
+		return;
+	}
+	r->tried[r->n_tried++] = m->id;
+	br_copy_text(r->target, sizeof(r->target), m->target.id);
+	r->job = (struct job){
+		.msg = r->msg,
+		.id = r->id,
+		.target = r->target,
+		.account = r->account ? r->account->name : "",
+		.caller_service = r->board->settings->service,
+		.account_hash = r->account ? r->account->name_hash : 0,
+		.route_hash = br_hash_str(r->route->name, 0),
+		.deadline_us = r->deadline_us,
+		.queue_until_us = r->queue_until_us,
+		.priority = r->account && r->account->has_priority ? r->account->priority
+								    : r->route->priority,
+		.idempotent = r->route->idempotent,
+		.done = on_job_done,
+	};
+	r->job_active = true;
+	peer_run(r->board, m, &r->job);
+}
+
+static void on_timeout(void *arg)
+{
+	struct request *r = arg;
+
+	r->timer = NULL;
+	fail(r, 504, "time is over");
+}
+
+/* Smooth weighted choice, so that also short stretches keep to the weights. */
+static uint32_t choose_service(const struct mesh_route *route, struct br_rng *rng)
+{
+	uint64_t sum = 0, at;
+
+	for (uint32_t i = 0; i < route->n_parts; i++)
+		sum += route->parts[i].weight;
+	at = br_rng_below(rng, sum);
+	for (uint32_t i = 0; i < route->n_parts; i++) {
+		if (at < route->parts[i].weight)
+			return route->parts[i].service;
+		at -= route->parts[i].weight;
+	}
+	return route->parts[0].service;
+}
+
+static void dispatch(struct request *r)
+{
+	struct br_retry_budget_cfg cfg = budget_cfg(r->board);
+
+	r->service = choose_service(r->route, &r->board->rng);
+	br_retry_budget_request(budget_of(r), &cfg, n_nodes(r->board), clock_now_us());
+	try_next(r);
+}
+
+static void deny_quota(struct request *r)
+{
+	board_count(r->board, COUNT_OVER_QUOTA);
+	answer_own(r, 429, retry_after_ms(r), "account is over its rate");
+}
+
+static void on_quota(struct quota_wait *w, bool granted)
+{
+	struct request *r = (struct request *)((char *)w - offsetof(struct request, quota_wait));
+
+	if (granted)
+		dispatch(r);
+	else
+		deny_quota(r);
+}
+
+static void take_quota(struct request *r)
+{
+	enum quota_result result = QUOTA_GRANTED;
+
+	r->quota_wait.done = on_quota;
+	if (r->account)
+		result = quota_take(r->board->quota, r->account, &r->quota_wait);
+	if (result == QUOTA_GRANTED)
+		dispatch(r);
+	else if (result == QUOTA_DENIED)
+		deny_quota(r);
+}
+
+/* Returns false if the request has been answered. */
+static bool check_key(struct request *r)
+{
+	const char *key = field(r, PLATFORM_FIELD_CALLER_KEY);
+	int account;
+
+	if (r->route->open || !r->config->n_accounts)
+		return true;
+	if (!config_keys_confirmed(r->board, clock_now_us())) {
+		board_count(r->board, COUNT_KEY_UNCONFIRMED);
+		refuse(r, "keys are not confirmed: the store is away");
+		return false;
+	}
+	account = key ? mesh_config_account(r->config, key) : -1;
+	if (account < 0) {
+		board_count(r->board, COUNT_KEY_UNKNOWN);
+		answer_own(r, 401, 0, key ? "key is not known" : "no key");
+		return false;
+	}
+	r->account = &r->config->accounts[account];
+	return true;
+}
+
+static void set_times(struct request *r)
+{
+	const char *text = field(r, PLATFORM_FIELD_TIME_LEFT_MS);
+	uint64_t left_ms = text ? strtoull(text, NULL, 10) : TIME_LEFT_DEFAULT_MS;
+	uint64_t queue_ms, end_ms;
+
+	if (left_ms > TIME_LEFT_MAX_MS)
+		left_ms = TIME_LEFT_MAX_MS;
+	r->caller_deadline_us = r->arrived_us + left_ms * BR_US_PER_MS;
+	end_ms = left_ms;
+	if (r->route->timeout_ms && r->route->timeout_ms < end_ms)
+		end_ms = r->route->timeout_ms;
+	queue_ms = r->route->objective_ms ? r->route->objective_ms / QUEUE_PART : end_ms / QUEUE_PART;
+	if (queue_ms < QUEUE_MIN_MS)
+		queue_ms = QUEUE_MIN_MS;
+	if (queue_ms > end_ms / 2)
+		queue_ms = end_ms / 2;
+	r->queue_until_us = r->arrived_us + queue_ms * BR_US_PER_MS;
+	r->deadline_us = r->arrived_us;
+	if (end_ms > WORK_MARGIN_MS)
+		r->deadline_us += (end_ms - WORK_MARGIN_MS) * BR_US_PER_MS;
+	r->timer = timer_start(r->board->loop, end_ms + ANSWER_MARGIN_MS, on_timeout, r);
+}
+
+static void begin(struct request *r)
+{
+	const char *host = http_msg_find(r->msg, "host");
+
+	if (!r->board->config) {
+		board_count(r->board, COUNT_NO_CONFIG);
+		refuse(r, "no configuration is known yet");
+		return;
+	}
+	r->config = mesh_config_ref(r->board->config);
+	if (!host || !*r->id) {
+		board_count(r->board, COUNT_NO_ROUTE);
+		answer_own(r, 400, 0, host ? "no request id" : "no host");
+		return;
+	}
+	r->route = mesh_config_route(r->config, host, http_msg_target(r->msg));
+	if (!r->route) {
+		board_count(r->board, COUNT_NO_ROUTE);
+		answer_own(r, 404, 0, "no route");
+		return;
+	}
+	set_times(r);
+	if (check_key(r))
+		take_quota(r);
+}
+
+void request_start(struct board *board, struct http_msg *msg, request_done_cb done, void *ctx,
+		   struct request **slot)
+{
+	struct request *r = xcalloc(1, sizeof(*r));
+	const char *id;
+
+	r->board = board;
+	r->msg = msg;
+	r->done = done;
+	r->ctx = ctx;
+	r->slot = slot;
+	*slot = r;
+	r->arrived_us = clock_now_us();
+	r->caller_deadline_us = r->arrived_us + TIME_LEFT_DEFAULT_MS * BR_US_PER_MS;
+	id = field(r, PLATFORM_FIELD_REQUEST_ID);
+	br_copy_text(r->id, sizeof(r->id), id ? id : "");
+	n_active++;
+	board_count(board, COUNT_REQUESTS);
+	begin(r);
+}
+
+void request_cancel(struct request *r)
+{
+	board_count(r->board, COUNT_CALLER_LEFT);
+	EVENT(EVENT_INFO, "request", "caller_left", EVENT_TEXT("request", r->id),
+	      EVENT_NUMBER("after_ms", (clock_now_us() - r->arrived_us) / BR_US_PER_MS));
+	release(r);
+}
+
+uint32_t request_active(void)
+{
+	return n_active;
+}
--- /dev/null
+++ b/mesh/service.c
@@ -0,0 +1,228 @@
+#include "mesh/service.h"
+
+#include "briarreel/error.h"
+#include "mesh/config_watch.h"
+#include "mesh/event_log.h"
+#include "mesh/members.h"
+#include "mesh/request.h"
+#include "mesh/target.h"
+#include "platform/decode.h"
+#include "platform/store.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEADER_BYTES 8192
+#define BODY_BYTES 65536
+#define METRICS_PATH "/metrics"
+#define LISTENERS 3
+
+struct service_server {
+	struct board *board;
+	uv_tcp_t listeners[LISTENERS];
+	struct service_conn *conns;
+};
+
+struct service_conn {
+	struct service_server *server;
+	struct http_conn *conn;
+	struct service_conn *prev, *next;
+};
+
+static const struct {
+	const char *name, *help;
+} counter_names[COUNTERS] = {
+	[COUNT_REQUESTS] = {"requests_total", "Requests of callers."},
+	[COUNT_ANSWERED] = {"answered_total", "Requests with an answer of a target."},
+	[COUNT_NO_CONFIG] = {"no_config_total", "Refused: no configuration is known yet."},
+	[COUNT_NO_ROUTE] = {"no_route_total", "Refused: no route, host or id."},
+	[COUNT_KEY_UNKNOWN] = {"key_unknown_total", "Refused: key missing or not known."},
+	[COUNT_KEY_UNCONFIRMED] = {"key_unconfirmed_total", "Refused: keys not confirmed."},
+	[COUNT_OVER_QUOTA] = {"over_quota_total", "Refused: account over its rate."},
+	[COUNT_REFUSED] = {"refused_total", "Refused with 503, not run."},
+	[COUNT_FAILED] = {"failed_total", "Answered 502."},
+	[COUNT_TIMED_OUT] = {"timed_out_total", "Answered 504."},
+	[COUNT_CALLER_LEFT] = {"caller_left_total", "Callers that left before the answer."},
+	[COUNT_REPEATS] = {"repeats_total", "Requests sent to a further target."},
+	[COUNT_REPEATS_DENIED] = {"repeats_denied_total", "Repeats denied by the budget."},
+	[COUNT_TARGET_JOBS] = {"target_jobs_total", "Jobs for the target of this VM."},
+	[COUNT_TARGET_NOT_RUN] = {"target_not_run_total", "Jobs that the target has not run."},
+	[COUNT_TARGET_LOST] = {"target_lost_total", "Jobs without a whole answer."},
+};
+
+static void write_metrics(const struct board *b, struct buf *out)
+{
+	struct peer_end load = {0};
+
+	for (int i = 0; i < COUNTERS; i++)
+		buf_printf(out,
+			   "# HELP briarreel_%s %s\n# TYPE briarreel_%s counter\n"
+			   "briarreel_%s %" PRIu64 "\n",
+			   counter_names[i].name, counter_names[i].help, counter_names[i].name,
+			   counter_names[i].name, b->counters[i]);
+	target_load(b->target, &load);
+	buf_printf(out, "# TYPE briarreel_target_in_flight gauge\nbriarreel_target_in_flight %u\n",
+		   load.in_flight);
+	buf_printf(out, "# TYPE briarreel_target_queued gauge\nbriarreel_target_queued %u\n",
+		   load.queued);
+	buf_printf(out, "# TYPE briarreel_members gauge\nbriarreel_members %zu\n",
+		   members_count(b->members));
+	buf_printf(out, "# TYPE briarreel_config_version gauge\nbriarreel_config_version %" PRIu64
+			"\n",
+		   b->config ? b->config->version : 0);
+	buf_printf(out,
+		   "# TYPE briarreel_config_confirmed_age_ms gauge\n"
+		   "briarreel_config_confirmed_age_ms %" PRIu64 "\n",
+		   config_confirmed_ms(b));
+	buf_printf(out,
+		   "# TYPE briarreel_store_calls_total counter\n"
+		   "briarreel_store_calls_total %" PRIu64 "\n",
+		   store_calls(b->store));
+	buf_printf(out,
+		   "# TYPE briarreel_target_connections_total counter\n"
+		   "briarreel_target_connections_total %" PRIu64 "\n",
+		   target_connections_opened(b->target));
+	buf_printf(out,
+		   "# TYPE briarreel_log_dropped_total counter\n"
+		   "briarreel_log_dropped_total %" PRIu64 "\n",
+		   event_log_dropped());
+}
+
+static void answer(struct service_conn *sc, uint16_t status, const char *type, struct buf *body)
+{
+	struct buf b = {0};
+
+	buf_printf(&b, "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n", status,
+		   http_reason(status), type, body->len);
+	buf_append(&b, body->data, body->len);
+	buf_free(body);
+	http_conn_send(sc->conn, &b);
+}
+
+static void answer_json(struct service_conn *sc, uint16_t status)
+{
+	struct buf body = {0};
+
+	buf_text(&body, "{}");
+	answer(sc, status, "application/json", &body);
+}
+
+static void take_report(struct service_conn *sc, const struct http_msg *m, const char *id)
+{
+	struct target_report report = {0};
+	struct br_error err = {0};
+
+	if (platform_decode_report(m->body.data, m->body.len, &report, &err)) {
+		EVENT(EVENT_WARNING, "target", "report_unreadable", EVENT_TEXT("target", id),
+		      EVENT_TEXT("error", err.detail));
+		answer_json(sc, 400);
+		return;
+	}
+	br_copy_text(report.id, sizeof(report.id), id);
+	target_report(sc->server->board->target, &report);
+	answer_json(sc, 200);
+}
+
+static void on_message(struct http_conn *c, struct http_msg *m)
+{
+	struct service_conn *sc = http_conn_owner(c);
+	struct board *board = sc->server->board;
+	char id[BR_NAME_BYTES];
+	struct buf body = {0};
+	bool ready;
+
+	if (!strcmp(http_msg_target(m), METRICS_PATH)) {
+		write_metrics(board, &body);
+		answer(sc, 200, "text/plain; version=0.0.4", &body);
+		http_msg_destroy(m);
+		return;
+	}
+	switch (platform_call_of(m, id, sizeof(id))) {
+	case PLATFORM_CALL_READY:
+		ready = board->config && !board->stopping;
+		answer_json(sc, ready ? 200 : 503);
+		break;
+	case PLATFORM_CALL_REPORT:
+		take_report(sc, m, id);
+		break;
+	case PLATFORM_CALL_LEAVE:
+		target_leave(board->target, id);
+		answer_json(sc, 200);
+		break;
+	case PLATFORM_CALL_UNKNOWN:
+		answer_json(sc, 404);
+		break;
+	}
+	http_msg_destroy(m);
+}
+
+static void free_conn(struct service_conn *sc)
+{
+	if (sc->prev)
+		sc->prev->next = sc->next;
+	else
+		sc->server->conns = sc->next;
+	if (sc->next)
+		sc->next->prev = sc->prev;
+	free(sc);
+}
+
+static void on_closed(struct http_conn *c, int err, uint16_t status)
+{
+	(void)err;
+	(void)status;
+	free_conn(http_conn_owner(c));
+}
+
+static const struct http_conn_ops service_ops = {.message = on_message, .closed = on_closed};
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct service_server *s = listener->data;
+	struct http_limits limits = {.header_bytes = HEADER_BYTES, .body_bytes = BODY_BYTES};
+	struct service_conn *sc;
+
+	if (status)
+		return;
+	sc = xcalloc(1, sizeof(*sc));
+	sc->server = s;
+	sc->conn = http_conn_accept(listener, &service_ops, &limits, sc);
+	if (!sc->conn) {
+		free(sc);
+		return;
+	}
+	sc->next = s->conns;
+	if (sc->next)
+		sc->next->prev = sc;
+	s->conns = sc;
+}
+
+struct service_server *service_server_create(struct board *board)
+{
+	const struct mesh_settings *set = board->settings;
+	struct service_server *s = xcalloc(1, sizeof(*s));
+	struct sockaddr_in addrs[LISTENERS] = {set->ready_addr, set->report_addr, set->peer_addr};
+
+	addrs[2].sin_port = htons(set->metrics_port);
+	s->board = board;
+	for (int i = 0; i < LISTENERS; i++) {
+		if (http_listen(board->loop, &s->listeners[i], &addrs[i], on_accept, s)) {
+			free(s);
+			return NULL;
+		}
+	}
+	return s;
+}
+
+void service_server_destroy(struct service_server *s)
+{
+	if (!s)
+		return;
+	for (int i = 0; i < LISTENERS; i++)
+		uv_close((uv_handle_t *)&s->listeners[i], NULL);
+	while (s->conns) {
+		http_conn_close(s->conns->conn);
+		free_conn(s->conns);
+	}
+}
--- /dev/null
+++ b/mesh/target.c
@@ -0,0 +1,347 @@
+#include "mesh/target.h"
+
+#include "common/clock.h"
+#include "mesh/event_log.h"
+#include "platform/fields.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define QUEUE_MAX 512
+#define CONNECT_TIMEOUT_MS 400
+#define IDLE_MS 8000
+#define ANSWER_HEADER_BYTES 65536
+#define ANSWER_BODY_BYTES (64ULL * 1024 * 1024)
+#define TICK_MS 20
+/*
+ * A connection that was idle longer may be closed by the target while a request is on its way,
+ * and then nobody knows whether that ran. What may run once only goes on a fresher one.
+ */
+#define ONCE_IDLE_MS 2000
+/* The work of a target ends this much before its node stops waiting for the answer. */
+#define ANSWER_MARGIN_MS 100
+/* Part of the drain time in which work is still taken after a leaving was acknowledged. */
+#define DRAIN_USED_PERCENT 70
+
+struct target {
+	struct board *board;
+	void (*changed)(void *ctx);
+	void *ctx;
+	struct target_status status;
+	uint64_t born_ms, sequence, leaving_until_us;
+	struct br_admission *queue;
+	struct http_pool *pool;
+	struct timer *ticker;
+	uint64_t opened_before;
+};
+
+static void start_next(struct target *t);
+
+static void end_job(struct target *t, struct job *job, enum job_result result,
+		    enum job_reason reason, struct http_msg *answer, bool reached)
+{
+	struct job_end end = {
+		.result = result, .reason = reason, .answer = answer, .reached = reached};
+
+	job->cancel = NULL;
+	board_count(t->board, COUNT_TARGET_JOBS);
+	if (result == JOB_NOT_RUN)
+		board_count(t->board, COUNT_TARGET_NOT_RUN);
+	else if (result == JOB_LOST)
+		board_count(t->board, COUNT_TARGET_LOST);
+	if (result != JOB_ANSWERED)
+		EVENT(EVENT_WARNING, "target", "not_answered", EVENT_TEXT("request", job->id),
+		      EVENT_TEXT("target", t->status.id),
+		      EVENT_TEXT("result", result == JOB_NOT_RUN ? "not_run" : "lost"),
+		      EVENT_TEXT("reason", job_reason_text(reason)),
+		      EVENT_TEXT("queue", br_admission_reason_text(job->entry.reason)),
+		      EVENT_NUMBER("in_flight", br_admission_in_flight(t->queue)),
+		      EVENT_NUMBER("queued", br_admission_queued(t->queue)));
+	job->done(job, &end);
+}
+
+static void on_drop(void *ctx, struct br_admission_entry *e, enum br_admission_reason reason)
+{
+	struct target *t = ctx;
+
+	end_job(t, e->data, JOB_NOT_RUN,
+		reason == BR_ADMISSION_CLOSED ? JOB_REASON_DRAINING : JOB_REASON_OVERLOAD, NULL,
+		false);
+}
+
+static void on_tick(void *arg)
+{
+	struct target *t = arg;
+
+	br_admission_tick(t->queue, clock_now_us());
+	if (!br_admission_queued(t->queue))
+		timer_cancel(&t->ticker);
+}
+
+static struct http_pool *create_pool(struct target *t)
+{
+	struct http_pool_cfg cfg = {
+		.addr = t->board->settings->target_addr,
+		.limits = {.header_bytes = ANSWER_HEADER_BYTES, .body_bytes = ANSWER_BODY_BYTES},
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.idle_ms = IDLE_MS,
+		.idle_max = QUEUE_MAX,
+	};
+
+	return http_pool_create(t->board->loop, &cfg);
+}
+
+struct target *target_create(struct board *board, void (*changed)(void *ctx), void *ctx)
+{
+	struct target *t = xcalloc(1, sizeof(*t));
+	struct br_admission_cfg cfg = {
+		.limit = 1, .queue_max = QUEUE_MAX, .drop = on_drop, .drop_ctx = t};
+
+	t->board = board;
+	t->changed = changed;
+	t->ctx = ctx;
+	t->queue = br_admission_create(&cfg);
+	t->pool = create_pool(t);
+	BR_INVARIANT(t->queue);
+	return t;
+}
+
+void target_destroy(struct target *t)
+{
+	if (!t)
+		return;
+	timer_cancel(&t->ticker);
+	br_admission_drop_all(t->queue);
+	br_admission_destroy(t->queue);
+	http_pool_destroy(t->pool);
+	free(t);
+}
+
+const struct target_status *target_status(const struct target *t)
+{
+	return &t->status;
+}
+
+static void set_phase(struct target *t, enum target_phase phase, const char *why)
+{
+	static const char *const names[] = {"absent", "serving", "leaving", "gone"};
+
+	EVENT(EVENT_INFO, "target", "phase", EVENT_TEXT("target", t->status.id),
+	      EVENT_TEXT("from", names[t->status.phase]), EVENT_TEXT("to", names[phase]),
+	      EVENT_TEXT("why", why), EVENT_NUMBER("sequence", t->sequence),
+	      EVENT_NUMBER("slots", t->status.slots));
+	t->status.phase = phase;
+	if (phase == TARGET_LEAVING)
+		t->leaving_until_us = clock_now_us() + t->board->settings->drain_ms *
+							       BR_US_PER_MS / 100 *
+							       DRAIN_USED_PERCENT;
+	if (phase == TARGET_GONE)
+		br_admission_drop_all(t->queue);
+	t->changed(t->ctx);
+}
+
+/* A report of an incarnation that this node has not seen before. */
+static void adopt(struct target *t, const struct target_report *r)
+{
+	http_pool_drop_idle(t->pool);
+	br_copy_text(t->status.id, sizeof(t->status.id), r->id);
+	br_copy_text(t->status.service, sizeof(t->status.service), r->service);
+	t->status.slots = r->slots;
+	t->status.cold_until_us = clock_now_us() + r->cold_ms * BR_US_PER_MS;
+	t->born_ms = r->born_ms;
+	t->sequence = r->sequence;
+	br_admission_set_limit(t->queue, r->slots);
+	set_phase(t, r->state == TARGET_READY ? TARGET_SERVING : TARGET_LEAVING, "first report");
+}
+
+void target_report(struct target *t, const struct target_report *r)
+{
+	bool same = t->status.phase != TARGET_ABSENT && !strcmp(t->status.id, r->id) &&
+		    t->born_ms == r->born_ms;
+
+	if (!same) {
+		/* A report that was held up is of an older incarnation than the one that is known. */
+		if (t->status.phase != TARGET_ABSENT && r->born_ms < t->born_ms)
+			return;
+		adopt(t, r);
+		return;
+	}
+	if (r->sequence <= t->sequence || t->status.phase == TARGET_GONE)
+		return;
+	t->sequence = r->sequence;
+	if (r->state == TARGET_DRAINING && t->status.phase == TARGET_SERVING)
+		set_phase(t, TARGET_LEAVING, "its report");
+	if (r->slots != t->status.slots) {
+		t->status.slots = r->slots;
+		br_admission_set_limit(t->queue, r->slots);
+		t->changed(t->ctx);
+	}
+}
+
+void target_leave(struct target *t, const char *id)
+{
+	if (t->status.phase == TARGET_ABSENT || strcmp(t->status.id, id) != 0)
+		return;
+	if (t->status.phase == TARGET_SERVING)
+		set_phase(t, TARGET_LEAVING, "its farewell");
+}
+
+static bool not_run(const struct http_msg *answer)
+{
+	return http_msg_find(answer, platform_field_name(PLATFORM_FIELD_NOT_RUN)) ||
+	       answer->status == 421;
+}
+
+static bool is_success(const struct http_msg *answer)
+{
+	return answer->status >= 200 && answer->status < 300;
+}
+
+static bool answer_belongs(struct http_call *call, const struct http_msg *msg)
+{
+	struct job *job = (struct job *)((char *)call - offsetof(struct job, call));
+	const char *id = http_msg_find(msg, platform_field_name(PLATFORM_FIELD_REQUEST_ID));
+
+	if (id)
+		return !strcmp(id, job->id);
+	/* Without an id only a refusal is believed; anything else could be of another request. */
+	return not_run(msg) && !is_success(msg);
+}
+
+static void on_answer(struct http_call *call, enum http_call_fate fate, struct http_msg *msg,
+		      int err)
+{
+	struct job *job = (struct job *)((char *)call - offsetof(struct job, call));
+	struct target *t = job->runner;
+	uint64_t now_us = clock_now_us();
+	bool ran = fate == HTTP_CALL_ANSWERED && !not_run(msg);
+
+	br_admission_done(t->queue, &job->entry, ran ? now_us - job->started_us : 0, now_us);
+	if (fate == HTTP_CALL_NOT_SENT) {
+		end_job(t, job, JOB_NOT_RUN, JOB_REASON_UNREACHABLE, NULL, false);
+	} else if (fate == HTTP_CALL_LOST) {
+		end_job(t, job, JOB_LOST, err == UV_ETIMEDOUT ? JOB_REASON_TIMEOUT
+							      : JOB_REASON_BROKEN, NULL, true);
+	} else if (!ran) {
+		http_msg_destroy(msg);
+		end_job(t, job, JOB_NOT_RUN, JOB_REASON_SHED, NULL, true);
+	} else if (is_success(msg) &&
+		   !http_msg_find(msg, platform_field_name(PLATFORM_FIELD_SEAL))) {
+		http_msg_destroy(msg);
+		end_job(t, job, JOB_LOST, JOB_REASON_UNSEALED, NULL, true);
+	} else {
+		end_job(t, job, JOB_ANSWERED, JOB_REASON_NONE, msg, true);
+	}
+	start_next(t);
+}
+
+static void cancel_running(struct job *job)
+{
+	struct target *t = job->runner;
+
+	http_call_cancel(&job->call);
+	br_admission_done(t->queue, &job->entry, 0, clock_now_us());
+	start_next(t);
+}
+
+static void cancel_queued(struct job *job)
+{
+	struct target *t = job->runner;
+
+	br_admission_cancel(t->queue, &job->entry);
+}
+
+static void start_job(struct target *t, struct job *job, uint64_t now_us)
+{
+	uint64_t left_ms = job->deadline_us > now_us ? (job->deadline_us - now_us) / 1000 : 0;
+	struct buf b = {0};
+
+	job->started_us = now_us;
+	job->cancel = cancel_running;
+	job->call = (struct http_call){
+		.done = on_answer,
+		.belongs = answer_belongs,
+		.timeout_ms = left_ms + ANSWER_MARGIN_MS,
+		.max_idle_ms = job->idempotent ? 0 : ONCE_IDLE_MS,
+	};
+	job_write_head(&b, job->msg);
+	buf_printf(&b, "%s: %" PRIu64 "\r\n%s: %s\r\n%s: %s\r\n",
+		   platform_field_name(PLATFORM_FIELD_TIME_LEFT_MS), left_ms,
+		   platform_field_name(PLATFORM_FIELD_TARGET_ID), t->status.id,
+		   platform_field_name(PLATFORM_FIELD_CALLER_SERVICE), job->caller_service);
+	if (*job->account)
+		buf_printf(&b, "%s: %s\r\n", platform_field_name(PLATFORM_FIELD_ACCOUNT),
+			   job->account);
+	buf_text(&b, "\r\n");
+	buf_append(&b, job->msg->body.data, job->msg->body.len);
+	http_pool_send(t->pool, &job->call, &b);
+}
+
+static void start_next(struct target *t)
+{
+	uint64_t now_us = clock_now_us();
+	struct br_admission_entry *e;
+
+	while ((e = br_admission_next(t->queue, now_us)) != NULL)
+		start_job(t, e->data, now_us);
+}
+
+static enum job_reason closed_reason(struct target *t, const struct job *job, uint64_t now_us)
+{
+	if (t->status.phase == TARGET_LEAVING && now_us >= t->leaving_until_us)
+		set_phase(t, TARGET_GONE, "drain time over");
+	if (t->status.phase == TARGET_ABSENT || strcmp(t->status.id, job->target) != 0)
+		return JOB_REASON_NO_TARGET;
+	return t->status.phase == TARGET_GONE ? JOB_REASON_DRAINING : JOB_REASON_NONE;
+}
+
+void target_run(struct target *t, struct job *job)
+{
+	uint64_t now_us = clock_now_us();
+	enum job_reason closed = closed_reason(t, job, now_us);
+
+	job->runner = t;
+	job->entry = (struct br_admission_entry){
+		.data = job,
+		.account = job->account_hash,
+		.deadline_us = job->queue_until_us,
+		.priority = job->priority,
+	};
+	if (closed != JOB_REASON_NONE) {
+		end_job(t, job, JOB_NOT_RUN, closed, NULL, false);
+		return;
+	}
+	switch (br_admission_offer(t->queue, &job->entry, now_us)) {
+	case BR_ADMISSION_RUN:
+		start_job(t, job, now_us);
+		break;
+	case BR_ADMISSION_QUEUED:
+		job->cancel = cancel_queued;
+		if (!t->ticker)
+			t->ticker = timer_repeat(t->board->loop, TICK_MS, on_tick, t);
+		break;
+	case BR_ADMISSION_REFUSED:
+		end_job(t, job, JOB_NOT_RUN, JOB_REASON_OVERLOAD, NULL, false);
+		break;
+	}
+}
+
+void target_load(const struct target *t, struct peer_end *end)
+{
+	end->in_flight = br_admission_in_flight(t->queue);
+	end->queued = br_admission_queued(t->queue);
+	end->limit = t->status.slots;
+}
+
+void target_tick(struct target *t)
+{
+	http_pool_sweep(t->pool);
+	if (t->status.phase == TARGET_LEAVING && clock_now_us() >= t->leaving_until_us)
+		set_phase(t, TARGET_GONE, "drain time over");
+}
+
+uint64_t target_connections_opened(const struct target *t)
+{
+	return http_pool_opened(t->pool);
+}
--- /dev/null
+++ b/net/http_conn.c
@@ -0,0 +1,410 @@
+#include "net/http_conn.h"
+
+#include "common/clock.h"
+
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define LISTEN_BACKLOG 1024
+#define READ_BYTES 65536
+/*
+ * A connection may go silent without a reset: unacknowledged bytes end it after this time, and
+ * keep-alive probes find a silent peer that owes an answer.
+ */
+#define USER_TIMEOUT_MS 2500
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_PROBES 2
+
+struct http_conn {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	http_parser parser;
+	const struct http_conn_ops *ops;
+	struct http_limits limits;
+	void *owner;
+	struct http_msg *msg;
+	uint64_t begun_us, received_us;
+	size_t unsent;
+	/** Error that the parser's callbacks found, as an HTTP status. */
+	uint16_t bad_status;
+	bool value_open, server, closing, finishing, head_done;
+};
+
+struct write_op {
+	uv_write_t req;
+	struct http_conn *conn;
+	struct buf bytes;
+	size_t left;
+};
+
+static char read_buffer[READ_BYTES];
+
+static int on_begin(http_parser *p)
+{
+	struct http_conn *c = p->data;
+
+	http_msg_destroy(c->msg);
+	c->msg = http_msg_create();
+	c->value_open = false;
+	c->head_done = false;
+	c->begun_us = clock_now_us();
+	if (c->ops->begin)
+		c->ops->begin(c);
+	return c->closing ? -1 : 0;
+}
+
+static int fail(struct http_conn *c, uint16_t status)
+{
+	c->bad_status = status;
+	return -1;
+}
+
+static int append_text(struct http_conn *c, const char *at, size_t len)
+{
+	struct buf *text = &c->msg->text;
+
+	if (text->len + len + 1 > c->limits.header_bytes)
+		return fail(c, 431);
+	buf_append(text, at, len);
+	return 0;
+}
+
+static int on_url(http_parser *p, const char *at, size_t len)
+{
+	return append_text(p->data, at, len);
+}
+
+static int on_field(http_parser *p, const char *at, size_t len)
+{
+	struct http_conn *c = p->data;
+	struct http_msg *m = c->msg;
+
+	if (c->head_done)
+		return 0;
+	if (memchr(at, ' ', len))
+		return fail(c, 400);
+	if (c->value_open || m->n_fields == 0) {
+		/* Ends the value before, or the target. */
+		buf_append(&m->text, "", 1);
+		if (m->n_fields == m->cap_fields) {
+			m->cap_fields = m->cap_fields ? 2 * m->cap_fields : 8;
+			m->fields = realloc(m->fields, m->cap_fields * sizeof(*m->fields));
+			if (!m->fields)
+				abort();
+		}
+		m->fields[m->n_fields++] = (struct http_field){.name = (uint32_t)m->text.len};
+		c->value_open = false;
+	}
+	return append_text(c, at, len);
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	struct http_conn *c = p->data;
+	struct http_msg *m = c->msg;
+
+	if (c->head_done)
+		return 0;
+	if (!c->value_open) {
+		buf_append(&m->text, "", 1);
+		m->fields[m->n_fields - 1].value = (uint32_t)m->text.len;
+		c->value_open = true;
+	}
+	return append_text(c, at, len);
+}
+
+static int on_headers(http_parser *p)
+{
+	struct http_conn *c = p->data;
+	const char *expect;
+
+	buf_append(&c->msg->text, "", 1);
+	c->head_done = true;
+	c->msg->method = (uint8_t)p->method;
+	c->msg->status = (uint16_t)p->status_code;
+	if (!c->server)
+		return 0;
+	if (p->upgrade || p->http_major != 1)
+		return fail(c, 400);
+	expect = http_msg_find(c->msg, "expect");
+	if (expect && !strcasecmp(expect, "100-continue")) {
+		struct buf b = {0};
+
+		buf_text(&b, "HTTP/1.1 100 Continue\r\n\r\n");
+		http_conn_send(c, &b);
+	}
+	return 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	struct http_conn *c = p->data;
+
+	if (c->msg->body.len + len > c->limits.body_bytes)
+		return fail(c, 413);
+	buf_append(&c->msg->body, at, len);
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct http_conn *c = p->data;
+	struct http_msg *m = c->msg;
+
+	m->keep_alive = http_should_keep_alive(p) != 0;
+	c->msg = NULL;
+	c->begun_us = 0;
+	c->ops->message(c, m);
+	return c->closing || c->finishing ? -1 : 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void on_closed(uv_handle_t *handle)
+{
+	struct http_conn *c = handle->data;
+
+	http_msg_destroy(c->msg);
+	free(c);
+}
+
+void http_conn_close(struct http_conn *c)
+{
+	if (c->closing)
+		return;
+	c->closing = true;
+	uv_close((uv_handle_t *)&c->tcp, on_closed);
+}
+
+static void report_closed(struct http_conn *c, int err, uint16_t status)
+{
+	if (c->closing)
+		return;
+	if (c->finishing) {
+		/* The owner has let go; only the bytes that are queued keep it open. */
+		if (!c->unsent)
+			http_conn_close(c);
+		return;
+	}
+	c->ops->closed(c, err, status);
+	http_conn_close(c);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
+{
+	(void)handle;
+	(void)suggested;
+	*out = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *in)
+{
+	struct http_conn *c = stream->data;
+	size_t used;
+
+	if (c->closing || n == 0)
+		return;
+	if (n < 0) {
+		/* The end of the connection may be the end of a message without a length. */
+		if (n == UV_EOF && !c->server && c->msg)
+			http_parser_execute(&c->parser, &parser_settings, NULL, 0);
+		uv_read_stop(stream);
+		report_closed(c, n == UV_EOF ? 0 : (int)n, 0);
+		return;
+	}
+	c->received_us = clock_now_us();
+	if (c->finishing)
+		return;
+	used = http_parser_execute(&c->parser, &parser_settings, in->base, (size_t)n);
+	if (c->closing || c->finishing)
+		return;
+	if (c->bad_status || HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || used != (size_t)n)
+		report_closed(c, -EPROTO, c->bad_status ? c->bad_status : 400);
+}
+
+static struct http_conn *create(uv_loop_t *loop, const struct http_conn_ops *ops,
+				const struct http_limits *limits, void *owner)
+{
+	struct http_conn *c = xcalloc(1, sizeof(*c));
+
+	uv_tcp_init(loop, &c->tcp);
+	c->tcp.data = c;
+	c->ops = ops;
+	c->limits = *limits;
+	c->owner = owner;
+	c->received_us = clock_now_us();
+	c->parser.data = c;
+	return c;
+}
+
+static void set_options(struct http_conn *c)
+{
+	unsigned int user_timeout_ms = USER_TIMEOUT_MS;
+	int probes = KEEPALIVE_PROBES, interval_s = KEEPALIVE_IDLE_S;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&c->tcp, 1);
+	if (c->server || uv_fileno((const uv_handle_t *)&c->tcp, &fd))
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
+	uv_tcp_keepalive(&c->tcp, 1, KEEPALIVE_IDLE_S);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+struct http_conn *http_conn_accept(uv_stream_t *server, const struct http_conn_ops *ops,
+				   const struct http_limits *limits, void *owner)
+{
+	struct http_conn *c = create(server->loop, ops, limits, owner);
+
+	c->server = true;
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+	if (uv_accept(server, (uv_stream_t *)&c->tcp) ||
+	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read)) {
+		http_conn_close(c);
+		return NULL;
+	}
+	set_options(c);
+	return c;
+}
+
+static void on_connect(uv_connect_t *req, int status)
+{
+	struct http_conn *c = req->data;
+
+	if (c->closing)
+		return;
+	if (!status)
+		status = uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	if (status) {
+		report_closed(c, status, 0);
+		return;
+	}
+	c->ops->connected(c);
+}
+
+struct http_conn *http_conn_connect(uv_loop_t *loop, const struct sockaddr_in *addr,
+				    const struct http_conn_ops *ops,
+				    const struct http_limits *limits, void *owner)
+{
+	struct http_conn *c = create(loop, ops, limits, owner);
+
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+	c->connect.data = c;
+	if (uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)addr, on_connect)) {
+		http_conn_close(c);
+		return NULL;
+	}
+	set_options(c);
+	return c;
+}
+
+void *http_conn_owner(const struct http_conn *c)
+{
+	return c->owner;
+}
+
+void http_conn_set_owner(struct http_conn *c, void *owner)
+{
+	c->owner = owner;
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct write_op *w = req->data;
+	struct http_conn *c = w->conn;
+
+	c->unsent -= w->left;
+	buf_free(&w->bytes);
+	free(w);
+	if (c->closing)
+		return;
+	if (status)
+		report_closed(c, status, 0);
+	else if (c->finishing && !c->unsent)
+		http_conn_close(c);
+}
+
+void http_conn_send(struct http_conn *c, struct buf *bytes)
+{
+	uv_buf_t chunk = uv_buf_init(bytes->data, (unsigned int)bytes->len);
+	struct write_op *w;
+	int sent = 0;
+
+	if (c->closing || !bytes->len) {
+		buf_free(bytes);
+		return;
+	}
+	if (!c->unsent)
+		sent = uv_try_write((uv_stream_t *)&c->tcp, &chunk, 1);
+	if (sent < 0)
+		sent = 0;
+	if ((size_t)sent == bytes->len) {
+		buf_free(bytes);
+		return;
+	}
+	w = xcalloc(1, sizeof(*w));
+	w->conn = c;
+	w->bytes = *bytes;
+	w->left = bytes->len - (size_t)sent;
+	w->req.data = w;
+	*bytes = (struct buf){0};
+	c->unsent += w->left;
+	chunk = uv_buf_init(w->bytes.data + sent, (unsigned int)w->left);
+	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &chunk, 1, on_written)) {
+		c->unsent -= w->left;
+		buf_free(&w->bytes);
+		free(w);
+	}
+}
+
+size_t http_conn_unsent(const struct http_conn *c)
+{
+	return c->unsent;
+}
+
+uint64_t http_conn_begun_us(const struct http_conn *c)
+{
+	return c->begun_us;
+}
+
+uint64_t http_conn_received_us(const struct http_conn *c)
+{
+	return c->received_us;
+}
+
+void http_conn_finish(struct http_conn *c)
+{
+	if (c->closing || c->finishing)
+		return;
+	c->finishing = true;
+	if (!c->unsent)
+		http_conn_close(c);
+}
+
+int http_listen(uv_loop_t *loop, uv_tcp_t *server, const struct sockaddr_in *addr,
+		uv_connection_cb cb, void *data)
+{
+	int rc = uv_tcp_init(loop, server);
+
+	server->data = data;
+	if (!rc)
+		rc = uv_tcp_bind(server, (const struct sockaddr *)addr, 0);
+	if (!rc)
+		rc = uv_listen((uv_stream_t *)server, LISTEN_BACKLOG, cb);
+	return rc;
+}
--- /dev/null
+++ b/net/http_conn.h
@@ -0,0 +1,71 @@
+/**
+ * @file http_conn.h
+ * One TCP connection that carries HTTP/1.1 messages, at the accepting or the connecting end.
+ *
+ * Callbacks of a connection are never made after http_conn_close().
+ */
+#ifndef NET_HTTP_CONN_H
+#define NET_HTTP_CONN_H
+
+#include "net/http_msg.h"
+
+#include <netinet/in.h>
+#include <uv.h>
+
+struct http_conn;
+
+/** Most bytes of what the peer may send in one message. */
+struct http_limits {
+	uint32_t header_bytes;
+	uint64_t body_bytes;
+};
+
+struct http_conn_ops {
+	/** A whole message has arrived; the callee owns it. */
+	void (*message)(struct http_conn *c, struct http_msg *m);
+	/** The first byte of a message has arrived; may be NULL. */
+	void (*begin)(struct http_conn *c);
+	/** Connecting ends only: the connection is established. */
+	void (*connected)(struct http_conn *c);
+	/**
+	 * The peer closed the connection, it failed, or the bytes are no message; the connection is
+	 * closed after this. status is an HTTP status where one tells the peer what was wrong, or 0.
+	 */
+	void (*closed)(struct http_conn *c, int err, uint16_t status);
+};
+
+/** Accepts a connection of a listening socket. Returns NULL if that fails. */
+struct http_conn *http_conn_accept(uv_stream_t *server, const struct http_conn_ops *ops,
+				   const struct http_limits *limits, void *owner);
+
+/** Starts connecting. Returns NULL if no socket can be had. */
+struct http_conn *http_conn_connect(uv_loop_t *loop, const struct sockaddr_in *addr,
+				    const struct http_conn_ops *ops,
+				    const struct http_limits *limits, void *owner);
+
+void *http_conn_owner(const struct http_conn *c);
+void http_conn_set_owner(struct http_conn *c, void *owner);
+
+/** Queues bytes; takes them over and leaves an empty buffer. */
+void http_conn_send(struct http_conn *c, struct buf *bytes);
+
+/** Bytes that are queued because the peer does not read. */
+size_t http_conn_unsent(const struct http_conn *c);
+
+/** Arrival of the first byte of the message that is being received, or 0 between messages. */
+uint64_t http_conn_begun_us(const struct http_conn *c);
+
+/** Last time at which bytes were received, or the connection was opened. */
+uint64_t http_conn_received_us(const struct http_conn *c);
+
+/** Closes at once; what is queued is still sent if the kernel takes it. */
+void http_conn_close(struct http_conn *c);
+
+/** Closes once all queued bytes are sent; nothing more is read as a message. */
+void http_conn_finish(struct http_conn *c);
+
+/** Opens a listening socket. Returns 0 or a negative error number. */
+int http_listen(uv_loop_t *loop, uv_tcp_t *server, const struct sockaddr_in *addr,
+		uv_connection_cb cb, void *data);
+
+#endif
--- /dev/null
+++ b/net/http_msg.c
@@ -0,0 +1,74 @@
+#include "net/http_msg.h"
+
+#include <http_parser.h>
+#include <stdlib.h>
+#include <strings.h>
+
+struct http_msg *http_msg_create(void)
+{
+	return xcalloc(1, sizeof(struct http_msg));
+}
+
+void http_msg_destroy(struct http_msg *m)
+{
+	if (!m)
+		return;
+	buf_free(&m->text);
+	buf_free(&m->body);
+	free(m->fields);
+	free(m);
+}
+
+const char *http_msg_target(const struct http_msg *m)
+{
+	return m->text.data + m->target;
+}
+
+const char *http_msg_name(const struct http_msg *m, uint32_t i)
+{
+	return m->text.data + m->fields[i].name;
+}
+
+const char *http_msg_value(const struct http_msg *m, uint32_t i)
+{
+	return m->text.data + m->fields[i].value;
+}
+
+const char *http_msg_find(const struct http_msg *m, const char *name)
+{
+	for (uint32_t i = 0; i < m->n_fields; i++)
+		if (!strcasecmp(http_msg_name(m, i), name))
+			return http_msg_value(m, i);
+	return NULL;
+}
+
+bool http_field_is_hop(const char *name)
+{
+	static const char *const hop[] = {
+		"connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length",
+		"te", "trailer", "upgrade", "expect", "proxy-authenticate", "proxy-authorization",
+	};
+
+	for (size_t i = 0; i < sizeof(hop) / sizeof(hop[0]); i++)
+		if (!strcasecmp(name, hop[i]))
+			return true;
+	return false;
+}
+
+const char *http_reason(uint16_t status)
+{
+	switch (status) {
+#define REASON(num, name, text) \
+	case num:               \
+		return #text;
+		HTTP_STATUS_MAP(REASON)
+#undef REASON
+	default:
+		return "Status";
+	}
+}
+
+const char *http_method_text(uint8_t method)
+{
+	return http_method_str((enum http_method)method);
+}
--- /dev/null
+++ b/net/http_pool.c
@@ -0,0 +1,304 @@
+#include "net/http_pool.h"
+
+#include "common/clock.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Part of the server's announced idle time after which a connection is no longer used. */
+#define IDLE_USABLE_PERCENT 70
+
+/** A connection of the pool: busy with a call, or in the idle list. */
+struct pool_conn {
+	struct http_pool *pool;
+	struct http_conn *conn;
+	struct http_call *call;
+	uint64_t idle_since_us, idle_limit_us;
+	struct pool_conn *next;
+};
+
+struct http_pool {
+	uv_loop_t *loop;
+	struct http_pool_cfg cfg;
+	/** Most recently used first. */
+	struct pool_conn *idle;
+	uint32_t n_idle, n_open;
+	uint64_t opened;
+};
+
+static const struct http_conn_ops conn_ops;
+
+struct http_pool *http_pool_create(uv_loop_t *loop, const struct http_pool_cfg *cfg)
+{
+	struct http_pool *p = xcalloc(1, sizeof(*p));
+
+	p->loop = loop;
+	p->cfg = *cfg;
+	return p;
+}
+
+static void discard(struct pool_conn *pc)
+{
+	http_conn_close(pc->conn);
+	pc->pool->n_open--;
+	free(pc);
+}
+
+static void unlink_idle(struct pool_conn *pc)
+{
+	struct pool_conn **link = &pc->pool->idle;
+
+	while (*link != pc)
+		link = &(*link)->next;
+	*link = pc->next;
+	pc->pool->n_idle--;
+}
+
+void http_pool_drop_idle(struct http_pool *p)
+{
+	while (p->idle) {
+		struct pool_conn *pc = p->idle;
+
+		unlink_idle(pc);
+		discard(pc);
+	}
+}
+
+void http_pool_destroy(struct http_pool *p)
+{
+	if (!p)
+		return;
+	http_pool_drop_idle(p);
+	free(p);
+}
+
+void http_pool_sweep(struct http_pool *p)
+{
+	struct pool_conn **link = &p->idle;
+	uint64_t now_us = clock_now_us();
+
+	while (*link) {
+		struct pool_conn *pc = *link;
+
+		if (now_us - pc->idle_since_us < pc->idle_limit_us) {
+			link = &pc->next;
+			continue;
+		}
+		*link = pc->next;
+		p->n_idle--;
+		discard(pc);
+	}
+}
+
+static void end_call(struct http_call *call, enum http_call_fate fate, struct http_msg *msg, int err)
+{
+	timer_cancel(&call->timer);
+	buf_free(&call->bytes);
+	call->conn = NULL;
+	call->pool = NULL;
+	call->done(call, fate, msg, err);
+}
+
+static void on_timeout(void *arg)
+{
+	struct http_call *call = arg;
+	struct pool_conn *pc = http_conn_owner(call->conn);
+	enum http_call_fate fate = call->sent ? HTTP_CALL_LOST : HTTP_CALL_NOT_SENT;
+
+	call->timer = NULL;
+	discard(pc);
+	end_call(call, fate, NULL, -ETIMEDOUT);
+}
+
+static void arm(struct http_call *call, uint64_t delay_ms)
+{
+	timer_cancel(&call->timer);
+	if (delay_ms)
+		call->timer = timer_start(call->pool->loop, delay_ms, on_timeout, call);
+}
+
+static void send_now(struct http_call *call)
+{
+	call->sent = true;
+	arm(call, call->timeout_ms);
+	http_conn_send(call->conn, &call->bytes);
+}
+
+static struct pool_conn *take_idle(struct http_pool *p, uint64_t max_idle_ms)
+{
+	uint64_t now_us = clock_now_us(), limit_us = max_idle_ms * 1000;
+
+	while (p->idle) {
+		struct pool_conn *pc = p->idle;
+		uint64_t idle_us = now_us - pc->idle_since_us;
+
+		if (idle_us < pc->idle_limit_us && (!limit_us || idle_us < limit_us)) {
+			unlink_idle(pc);
+			return pc;
+		}
+		if (idle_us < pc->idle_limit_us)
+			return NULL;
+		unlink_idle(pc);
+		discard(pc);
+	}
+	return NULL;
+}
+
+static void on_no_socket(void *arg)
+{
+	struct http_call *call = arg;
+
+	call->timer = NULL;
+	end_call(call, HTTP_CALL_NOT_SENT, NULL, -EMFILE);
+}
+
+void http_pool_send(struct http_pool *p, struct http_call *call, struct buf *bytes)
+{
+	struct pool_conn *pc = take_idle(p, call->max_idle_ms);
+
+	call->pool = p;
+	call->sent = false;
+	call->bytes = *bytes;
+	*bytes = (struct buf){0};
+	if (pc) {
+		pc->call = call;
+		call->conn = pc->conn;
+		send_now(call);
+		return;
+	}
+	pc = xcalloc(1, sizeof(*pc));
+	pc->pool = p;
+	pc->call = call;
+	pc->conn = http_conn_connect(p->loop, &p->cfg.addr, &conn_ops, &p->cfg.limits, pc);
+	if (!pc->conn) {
+		free(pc);
+		/* The owner must not be called back before this returns. */
+		call->timer = timer_start(p->loop, 0, on_no_socket, call);
+		return;
+	}
+	p->n_open++;
+	p->opened++;
+	call->conn = pc->conn;
+	arm(call, p->cfg.connect_timeout_ms);
+}
+
+void http_call_cancel(struct http_call *call)
+{
+	timer_cancel(&call->timer);
+	buf_free(&call->bytes);
+	if (call->conn)
+		discard(http_conn_owner(call->conn));
+	call->conn = NULL;
+	call->pool = NULL;
+}
+
+bool http_call_active(const struct http_call *call)
+{
+	return call->pool != NULL;
+}
+
+static void on_connected(struct http_conn *c)
+{
+	struct pool_conn *pc = http_conn_owner(c);
+
+	if (pc->call)
+		send_now(pc->call);
+}
+
+static uint64_t idle_limit_us(const struct http_pool *p, const struct http_msg *m)
+{
+	const char *field = http_msg_find(m, "keep-alive");
+	const char *timeout = field ? strstr(field, "timeout=") : NULL;
+	uint64_t limit_us = p->cfg.idle_ms * 1000;
+	unsigned long s = timeout ? strtoul(timeout + strlen("timeout="), NULL, 10) : 0;
+	uint64_t told_us = s * 1000000 / 100 * IDLE_USABLE_PERCENT;
+
+	return s && told_us < limit_us ? told_us : limit_us;
+}
+
+static void keep(struct pool_conn *pc, const struct http_msg *m)
+{
+	struct http_pool *p = pc->pool;
+
+	if (!m->keep_alive || http_conn_unsent(pc->conn) || p->n_idle >= p->cfg.idle_max) {
+		discard(pc);
+		return;
+	}
+	pc->call = NULL;
+	pc->idle_since_us = clock_now_us();
+	pc->idle_limit_us = idle_limit_us(p, m);
+	pc->next = p->idle;
+	p->idle = pc;
+	p->n_idle++;
+}
+
+static void on_message(struct http_conn *c, struct http_msg *m)
+{
+	struct pool_conn *pc = http_conn_owner(c);
+	struct http_call *call = pc->call;
+
+	if (call && call->sent && m->status >= 100 && m->status < 200) {
+		http_msg_destroy(m);
+		return;
+	}
+	if (!call || !call->sent) {
+		/* Bytes that nobody asked for: nothing more on this connection can be trusted. */
+		http_msg_destroy(m);
+		if (!call) {
+			unlink_idle(pc);
+			discard(pc);
+		}
+		return;
+	}
+	if (call->belongs && !call->belongs(call, m)) {
+		http_msg_destroy(m);
+		return;
+	}
+	keep(pc, m);
+	end_call(call, HTTP_CALL_ANSWERED, m, 0);
+}
+
+static void on_begin(struct http_conn *c)
+{
+	struct pool_conn *pc = http_conn_owner(c);
+
+	if (pc->call)
+		return;
+	unlink_idle(pc);
+	discard(pc);
+}
+
+static void on_closed(struct http_conn *c, int err, uint16_t status)
+{
+	struct pool_conn *pc = http_conn_owner(c);
+	struct http_call *call = pc->call;
+	enum http_call_fate fate;
+
+	(void)status;
+	if (!call) {
+		unlink_idle(pc);
+		discard(pc);
+		return;
+	}
+	fate = call->sent ? HTTP_CALL_LOST : HTTP_CALL_NOT_SENT;
+	discard(pc);
+	end_call(call, fate, NULL, err ? err : -ECONNRESET);
+}
+
+static const struct http_conn_ops conn_ops = {
+	.message = on_message,
+	.begin = on_begin,
+	.connected = on_connected,
+	.closed = on_closed,
+};
+
+uint32_t http_pool_open(const struct http_pool *p)
+{
+	return p->n_open;
+}
+
+uint64_t http_pool_opened(const struct http_pool *p)
+{
+	return p->opened;
+}
--- /dev/null
+++ b/net/http_pool.h
@@ -0,0 +1,78 @@
+/**
+ * @file http_pool.h
+ * Calls to one HTTP server over kept connections, one call at a time on each.
+ */
+#ifndef NET_HTTP_POOL_H
+#define NET_HTTP_POOL_H
+
+#include "net/http_conn.h"
+#include "net/timer.h"
+
+struct http_pool;
+struct http_call;
+
+/** What is known of a call that ended without an answer. */
+enum http_call_fate {
+	/** The answer is whole and belongs to this call. */
+	HTTP_CALL_ANSWERED,
+	/** Nothing was sent: the connection could not be established. */
+	HTTP_CALL_NOT_SENT,
+	/** Sent, and no whole answer came; the server may have acted on it. */
+	HTTP_CALL_LOST,
+};
+
+/** One call, embedded by its owner; it must stay valid until done is called or it is cancelled. */
+struct http_call {
+	/** Set by the owner. msg is the answer, owned by the callee, or NULL; err is negative then. */
+	void (*done)(struct http_call *call, enum http_call_fate fate, struct http_msg *msg, int err);
+	/** Optional: false for an answer that belongs to another request; the next one is awaited. */
+	bool (*belongs)(struct http_call *call, const struct http_msg *msg);
+	/** Time after which an unanswered call ends with -ETIMEDOUT; 0 for none. */
+	uint64_t timeout_ms;
+	/** Only a connection that was used within this time is taken; 0 for any. */
+	uint64_t max_idle_ms;
+	/** Private. */
+	struct http_pool *pool;
+	struct http_conn *conn;
+	struct buf bytes;
+	struct timer *timer;
+	bool sent;
+};
+
+struct http_pool_cfg {
+	struct sockaddr_in addr;
+	struct http_limits limits;
+	uint64_t connect_timeout_ms;
+	/** Idle connections are closed after this time; a Keep-Alive field may shorten it. */
+	uint64_t idle_ms;
+	/** Most idle connections that are kept. */
+	uint32_t idle_max;
+};
+
+struct http_pool *http_pool_create(uv_loop_t *loop, const struct http_pool_cfg *cfg);
+
+/** Closes idle connections. Calls must have ended. */
+void http_pool_destroy(struct http_pool *p);
+
+/** Sends the bytes of a request on an idle or a new connection; takes the bytes over. */
+void http_pool_send(struct http_pool *p, struct http_call *call, struct buf *bytes);
+
+/** Ends a call without a callback by closing its connection. */
+void http_call_cancel(struct http_call *call);
+
+/** True between http_pool_send() and the end of the call. */
+bool http_call_active(const struct http_call *call);
+
+/** Closes connections that have been idle too long; call about once a second. */
+void http_pool_sweep(struct http_pool *p);
+
+/** Closes all idle connections, for example after one proved dead. */
+void http_pool_drop_idle(struct http_pool *p);
+
+/** Open connections, idle ones included. */
+uint32_t http_pool_open(const struct http_pool *p);
+
+/** Connections opened since the pool was created. */
+uint64_t http_pool_opened(const struct http_pool *p);
+
+#endif
