--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -21,7 +21,7 @@
 	struct caller *caller;
 	struct request *request;
 	struct buf answer;
-	bool answered, last;
+	bool starting, answered, last;
 	struct turn *next;
 };
 
@@ -110,8 +110,9 @@
 		c->ending = true;
 	}
 	write_answer(t, answer);
-	/* Within on_message() the connection must stay; it is flushed there. */
-	if (t->request)
+	t->request = NULL;
+	/* on_message() still uses the connection and flushes it itself. */
+	if (!t->starting)
 		flush(c);
 }
 
@@ -143,7 +144,9 @@
 		t->last = true;
 		c->ending = true;
 	}
+	t->starting = true;
 	request_start(c->server->board, m, on_answer, t, &t->request);
+	t->starting = false;
 	if (t->answered)
 		flush(c);
 }
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -42,7 +42,6 @@
 	const struct mesh_account *account;
 	request_done_cb done;
 	void *ctx;
-	struct request **slot;
 	char id[BR_REQUEST_ID_BYTES];
 	uint64_t arrived_us, caller_deadline_us, deadline_us, queue_until_us;
 	uint32_t service;
@@ -72,7 +71,6 @@
 	quota_cancel(r->board->quota, &r->quota_wait);
 	if (r->job_active)
 		job_cancel(&r->job);
-	*r->slot = NULL;
 	http_msg_destroy(r->msg);
 	mesh_config_unref(r->config);
 	n_active--;
@@ -477,7 +475,6 @@
 	r->msg = msg;
 	r->done = done;
 	r->ctx = ctx;
-	r->slot = slot;
 	*slot = r;
 	r->arrived_us = clock_now_us();
 	r->caller_deadline_us = r->arrived_us + TIME_LEFT_DEFAULT_MS * BR_US_PER_MS;
--- a/mesh/request.h
+++ b/mesh/request.h
@@ -19,8 +19,8 @@
 typedef void (*request_done_cb)(void *ctx, struct request *r, struct request_answer *answer);
 
 /**
- * Starts a request; takes the message over. done is called once, possibly before this returns,
- * unless the request is cancelled; the request is gone after it.
+ * Starts a request; takes the message over and stores the request in *slot. done is called once,
+ * possibly before this returns, unless the request is cancelled; the request is gone after it.
  */
 void request_start(struct board *board, struct http_msg *msg, request_done_cb done, void *ctx,
 		   struct request **slot);
