Tell a reset from the end of an answer without a length

Cause: libuv reports the end of the stream for a reset that comes right behind the last bytes, and an answer without a length then looked whole.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -209,6 +209,22 @@
 	*out = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/*
+ * libuv reports the end of the stream also for a reset that arrives right behind the last bytes. A
+ * message without a length is whole only if the peer has closed in order.
+ */
+static ssize_t end_of_stream(struct http_conn *c)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&c->tcp, &fd))
+		return UV_EOF;
+	if (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno != EAGAIN)
+		return -errno;
+	return UV_EOF;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *in)
 {
 	struct http_conn *c = stream->data;
@@ -216,6 +232,8 @@
 
 	if (c->closing || n == 0)
 		return;
+	if (n == UV_EOF)
+		n = end_of_stream(c);
 	if (n < 0) {
 		/* The end of the connection may be the end of a message without a length. */
 		if (n == UV_EOF && !c->server && c->msg)
