Test the mesh node against a stand-in for the platform; keep a target's failure

Cause, found by the new script: after a target's 500 a repeat was tried, and where no other target was left the caller got a 502 of the node's own in place of the target's answer. Change: the failure is kept and answers the request unless a repeat brings a better answer. Two Host fields are refused with 400.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -252,6 +252,15 @@
 	return conn;
 }
 
+/* A Host among the caller's headers goes before the address. */
+static const char *host_of(const struct http_request *req, const char *address)
+{
+	for (size_t i = 0; i < req->n_headers; i++)
+		if (!strcasecmp(req->headers[i].name, "Host"))
+			return req->headers[i].value;
+	return address;
+}
+
 static int send_request(struct mg_connection *conn, const char *address,
 			const struct http_request *req)
 {
@@ -264,9 +273,11 @@
 	if (!buf)
 		return -ENOMEM;
 	n = snprintf(buf, HEAD_BYTES, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %zu\r\n",
-		     req->method, req->target, address, req->body_len);
+		     req->method, req->target, host_of(req, address), req->body_len);
 	len = (size_t)n;
 	for (size_t i = 0; i < req->n_headers && len < HEAD_BYTES; i++) {
+		if (!strcasecmp(req->headers[i].name, "Host"))
+			continue;
 		n = snprintf(buf + len, HEAD_BYTES - len, "%s: %s\r\n", req->headers[i].name,
 			     req->headers[i].value);
 		len += (size_t)n;
--- a/lib/quota.c
+++ b/lib/quota.c
@@ -123,7 +123,8 @@
 	uint32_t heard = 0;
 
 	for (size_t i = 0; i < k->nodes.cap; i++)
-		if (k->nodes.rows[i].key && now_us - k->nodes.rows[i].filled_us < BR_QUOTA_SILENT_US)
+		if (k->nodes.rows[i].key &&
+		    now_us - k->nodes.rows[i].filled_us < BR_QUOTA_SILENT_US)
 			heard++;
 	return heard < k->n_nodes ? k->n_nodes - heard : 0;
 }
--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -44,8 +44,7 @@
 
 bool config_keys_confirmed(const struct board *board, uint64_t now_us)
 {
-	uint64_t bound_us =
-		(board->settings->revocation_ms - CONFIRM_MARGIN_MS) * BR_US_PER_MS;
+	uint64_t bound_us = (board->settings->revocation_ms - CONFIRM_MARGIN_MS) * BR_US_PER_MS;
 
 	return now_us - board->confirmed_us < bound_us;
 }
--- a/mesh/event_log.h
+++ b/mesh/event_log.h
@@ -27,8 +27,8 @@
 #define EVENT_TEXT(n, t) ((struct event_field){.name = (n), .text = (t)})
 #define EVENT_NUMBER(n, v) ((struct event_field){.name = (n), .number = (int64_t)(v)})
 /** Writes an event of a part; part and event are literals. */
-#define EVENT(level, part, event, ...)                                                      \
-	event_log(level, part, event, (const struct event_field[]){__VA_ARGS__},            \
+#define EVENT(level, part, event, ...)                                           \
+	event_log(level, part, event, (const struct event_field[]){__VA_ARGS__}, \
 		  sizeof((const struct event_field[]){__VA_ARGS__}) / sizeof(struct event_field))
 
 /** Starts the log; node is added to each line. */
--- a/mesh/job.c
+++ b/mesh/job.c
@@ -7,16 +7,11 @@
 #include <strings.h>
 
 static const char *const reasons[JOB_REASONS] = {
-	[JOB_REASON_NONE] = "none",
-	[JOB_REASON_NO_TARGET] = "no_target",
-	[JOB_REASON_DRAINING] = "draining",
-	[JOB_REASON_OVERLOAD] = "overload",
-	[JOB_REASON_SHED] = "shed",
-	[JOB_REASON_UNREACHABLE] = "unreachable",
-	[JOB_REASON_BROKEN] = "broken",
-	[JOB_REASON_UNSEALED] = "unsealed",
-	[JOB_REASON_TIMEOUT] = "timeout",
-	[JOB_REASON_STOPPING] = "stopping",
+	[JOB_REASON_NONE] = "none",	    [JOB_REASON_NO_TARGET] = "no_target",
+	[JOB_REASON_DRAINING] = "draining", [JOB_REASON_OVERLOAD] = "overload",
+	[JOB_REASON_SHED] = "shed",	    [JOB_REASON_UNREACHABLE] = "unreachable",
+	[JOB_REASON_BROKEN] = "broken",	    [JOB_REASON_UNSEALED] = "unsealed",
+	[JOB_REASON_TIMEOUT] = "timeout",   [JOB_REASON_STOPPING] = "stopping",
 };
 
 void job_cancel(struct job *job)
--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -96,8 +96,7 @@
 		l->incarnation = l->fetched.incarnation;
 		l->view_changes = l->fetched.view_changes;
 	} else if (revision) {
-		config_take(l->config, msg->body.data, msg->body.len,
-			    strtoull(revision, NULL, 10));
+		config_take(l->config, msg->body.data, msg->body.len, strtoull(revision, NULL, 10));
 	}
 }
 
@@ -136,8 +135,8 @@
 void keeper_link_news(struct keeper_link *l, const struct keeper_news *news)
 {
 	uint64_t version = l->board->config ? l->board->config->version : 0;
-	bool view_differs = l->incarnation != news->incarnation ||
-			    l->view_changes != news->view_changes;
+	bool view_differs =
+		l->incarnation != news->incarnation || l->view_changes != news->view_changes;
 
 	if (!l->config || news->confirmed_ms > CONFIRMED_MAX_MS)
 		return;
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -190,7 +190,8 @@
 	int check = 0;
 	char *path = NULL;
 	struct poptOption options[] = {
-		{"settings", 's', POPT_ARG_STRING, &path, 0, "settings file of the platform", "FILE"},
+		{"settings", 's', POPT_ARG_STRING, &path, 0, "settings file of the platform",
+		 "FILE"},
 		{"check", 'c', POPT_ARG_NONE, &check, 0, "check the settings and exit", NULL},
 		POPT_AUTOHELP POPT_TABLEEND};
 	poptContext popt = poptGetContext("briarreel-mesh", argc, argv, options, 0);
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -243,8 +243,7 @@
 static bool kept(const struct member *m, uint64_t now_us)
 {
 	return !m->missing_us || now_us - m->missing_us < MISSING_KEPT_US ||
-	       now_us - m->answered_us < MISSING_KEPT_US ||
-	       http_pool_open(m->pool) > 0;
+	       now_us - m->answered_us < MISSING_KEPT_US || http_pool_open(m->pool) > 0;
 }
 
 void members_sweep(struct members *ms)
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -200,8 +200,7 @@
 	struct buf b = {0};
 
 	target_load(board->target, &head);
-	buf_printf(&b, "HTTP/1.1 %u %s\r\n", m ? m->status : 503,
-		   http_reason(m ? m->status : 503));
+	buf_printf(&b, "HTTP/1.1 %u %s\r\n", m ? m->status : 503, http_reason(m ? m->status : 503));
 	peer_write_end(&b, &head);
 	for (uint32_t i = 0; m && i < m->n_fields; i++)
 		if (!http_field_is_hop(http_msg_name(m, i)))
--- a/mesh/peer_format.c
+++ b/mesh/peer_format.c
@@ -40,8 +40,10 @@
 	unsigned int priority, idempotent;
 
 	if (sscanf(text,
-		   "%" SCNu64 " %" SCNu64 " %" SCNu64 " %" SCNx64 " %" SCNx64 " %u %u %63s %63s %63s",
-		   &out->left_ms, &out->queue_ms, &out->version, &out->account_hash, &out->route_hash, &priority, &idempotent, out->target, out->account,
+		   "%" SCNu64 " %" SCNu64 " %" SCNu64 " %" SCNx64 " %" SCNx64
+		   " %u %u %63s %63s %63s",
+		   &out->left_ms, &out->queue_ms, &out->version, &out->account_hash,
+		   &out->route_hash, &priority, &idempotent, out->target, out->account,
 		   out->caller_service) != 10)
 		return -EINVAL;
 	out->priority = (uint8_t)(priority < BR_PRIORITIES ? priority : BR_PRIORITIES - 1);
@@ -54,9 +56,9 @@
 
 void peer_write_end(struct buf *b, const struct peer_end *end)
 {
-	buf_printf(b, PEER_END_FIELD ": %d %s %d %u %u %u %" PRIu64 " %" PRIu64 "\r\n", (int)end->result,
-		   job_reason_text(end->reason), end->reached, end->in_flight, end->queued,
-		   end->limit, end->version, end->confirmed_ms);
+	buf_printf(b, PEER_END_FIELD ": %d %s %d %u %u %u %" PRIu64 " %" PRIu64 "\r\n",
+		   (int)end->result, job_reason_text(end->reason), end->reached, end->in_flight,
+		   end->queued, end->limit, end->version, end->confirmed_ms);
 }
 
 int peer_read_end(const char *text, struct peer_end *out)
@@ -64,8 +66,9 @@
 	char reason[BR_NAME_BYTES];
 	unsigned int result, reached;
 
-	if (sscanf(text, "%u %63s %u %u %u %u %" SCNu64 " %" SCNu64, &result, reason, &reached, &out->in_flight,
-		   &out->queued, &out->limit, &out->version, &out->confirmed_ms) != 8 ||
+	if (sscanf(text, "%u %63s %u %u %u %u %" SCNu64 " %" SCNu64, &result, reason, &reached,
+		   &out->in_flight, &out->queued, &out->limit, &out->version,
+		   &out->confirmed_ms) != 8 ||
 	    result > JOB_LOST)
 		return -EINVAL;
 	out->result = (enum job_result)result;
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -136,7 +136,6 @@
 	return br_quota_keeper_grant(q->keeper, hash, a->rate_per_s, a->burst, want, now_us);
 }
 
-
 static void send_message(struct quota *q, const struct sockaddr *to, const struct message *m,
 			 uint32_t n_rows)
 {
@@ -251,7 +250,8 @@
 	q->unanswered_us = 0;
 	take_news(q, in, asked_us);
 	for (uint32_t i = 0; i < n_rows; i++)
-		br_quota_share_add(q->share, join(in->rows[i].account_high, in->rows[i].account_low),
+		br_quota_share_add(q->share,
+				   join(in->rows[i].account_high, in->rows[i].account_low),
 				   ntohl(in->rows[i].n), asked_us);
 	for (struct quota_wait *w = q->head; w; w = next) {
 		next = w->next;
@@ -298,8 +298,9 @@
 		next = w->next;
 		if (now_us - w->since_us < ANSWER_WAIT_US * 3)
 			continue;
-		end_wait(q, w, br_quota_share_take_part(q->share, w->account_hash, w->rate_per_s,
-							n_nodes(q), now_us));
+		end_wait(q, w,
+			 br_quota_share_take_part(q->share, w->account_hash, w->rate_per_s,
+						  n_nodes(q), now_us));
 	}
 }
 
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -52,6 +52,8 @@
 	char target[BR_NAME_BYTES];
 	struct br_node_id tried[TRIED_MAX];
 	uint32_t n_tried, reached, refusals;
+	/** A target's failure, which is the answer unless a repeat brings a better one. */
+	struct http_msg *failure;
 	enum job_reason last_reason;
 };
 
@@ -72,6 +74,7 @@
 	if (r->job_active)
 		job_cancel(&r->job);
 	http_msg_destroy(r->msg);
+	http_msg_destroy(r->failure);
 	mesh_config_unref(r->config);
 	n_active--;
 	free(r);
@@ -85,8 +88,7 @@
 	release(r);
 }
 
-static void answer_own(struct request *r, uint16_t status, uint64_t retry_after_ms,
-		       const char *why)
+static void answer_own(struct request *r, uint16_t status, uint64_t retry_after_ms, const char *why)
 {
 	struct request_answer a = {.status = status};
 	uint64_t now_us = clock_now_us();
@@ -102,8 +104,8 @@
 	      EVENT_NUMBER("version", r->config ? r->config->version : 0),
 	      EVENT_NUMBER("confirmed_ms_ago", config_confirmed_ms(r->board)));
 	if (*r->id)
-		buf_printf(&a.fields, "%s: %s\r\n",
-			   platform_field_name(PLATFORM_FIELD_REQUEST_ID), r->id);
+		buf_printf(&a.fields, "%s: %s\r\n", platform_field_name(PLATFORM_FIELD_REQUEST_ID),
+			   r->id);
 	if (retry_after_ms)
 		buf_printf(&a.fields, "Retry-After: %" PRIu64 ".%03" PRIu64 "\r\n",
 			   retry_after_ms / 1000, retry_after_ms % 1000);
@@ -116,25 +118,12 @@
 	uint64_t left_ms = r->caller_deadline_us > now_us
 				   ? (r->caller_deadline_us - now_us) / BR_US_PER_MS
 				   : 0;
-	uint64_t percent = RETRY_AFTER_MIN_PERCENT +
-			   br_rng_below(&r->board->rng, RETRY_AFTER_SPREAD_PERCENT);
+	uint64_t percent =
+		RETRY_AFTER_MIN_PERCENT + br_rng_below(&r->board->rng, RETRY_AFTER_SPREAD_PERCENT);
 
 	return left_ms * percent / 100 + 1;
 }
 
-/* The request has not run at any target and will not. */
-static void refuse(struct request *r, const char *why)
-{
-	board_count(r->board, COUNT_REFUSED);
-	answer_own(r, 503, retry_after_ms(r), why);
-}
-
-static void fail(struct request *r, uint16_t status, const char *why)
-{
-	board_count(r->board, status == 504 ? COUNT_TIMED_OUT : COUNT_FAILED);
-	answer_own(r, status, 0, why);
-}
-
 static void pass_answer(struct request *r, const struct http_msg *m)
 {
 	struct request_answer a = {.status = m->status};
@@ -151,11 +140,31 @@
 		EVENT(EVENT_WARNING, "request", "target_failed", EVENT_TEXT("request", r->id),
 		      EVENT_TEXT("route", r->route->name), EVENT_TEXT("target", r->target),
 		      EVENT_NUMBER("status", m->status), EVENT_NUMBER("reached", r->reached),
-		      EVENT_NUMBER("after_ms",
-				   (clock_now_us() - r->arrived_us) / BR_US_PER_MS));
+		      EVENT_NUMBER("after_ms", (clock_now_us() - r->arrived_us) / BR_US_PER_MS));
 	finish(r, &a);
 }
 
+/* The request has not run at any target and will not. */
+static void refuse(struct request *r, const char *why)
+{
+	if (r->failure) {
+		pass_answer(r, r->failure);
+		return;
+	}
+	board_count(r->board, COUNT_REFUSED);
+	answer_own(r, 503, retry_after_ms(r), why);
+}
+
+static void fail(struct request *r, uint16_t status, const char *why)
+{
+	if (r->failure) {
+		pass_answer(r, r->failure);
+		return;
+	}
+	board_count(r->board, status == 504 ? COUNT_TIMED_OUT : COUNT_FAILED);
+	answer_own(r, status, 0, why);
+}
+
 static struct br_retry_budget_cfg budget_cfg(const struct board *b)
 {
 	return (struct br_retry_budget_cfg){.ratio = b->settings->budget_ratio,
@@ -233,11 +242,14 @@
 		r->reached++;
 	switch (end->result) {
 	case JOB_ANSWERED:
-		if (answer->status >= 500 && answer->status != 504 && may_repeat(r))
+		if (answer->status >= 500 && answer->status != 504 && may_repeat(r)) {
+			http_msg_destroy(r->failure);
+			r->failure = answer;
 			try_next(r);
-		else
+		} else {
 			pass_answer(r, answer);
-		http_msg_destroy(answer);
+			http_msg_destroy(answer);
+		}
 		break;
 	case JOB_NOT_RUN:
 		on_not_run(r, end);
@@ -322,7 +334,7 @@
 		.deadline_us = r->deadline_us,
 		.queue_until_us = r->queue_until_us,
 		.priority = r->account && r->account->has_priority ? r->account->priority
-								    : r->route->priority,
+								   : r->route->priority,
 		.idempotent = r->route->idempotent,
 		.done = on_job_done,
 	};
@@ -427,7 +439,8 @@
 	end_ms = left_ms;
 	if (r->route->timeout_ms && r->route->timeout_ms < end_ms)
 		end_ms = r->route->timeout_ms;
-	queue_ms = r->route->objective_ms ? r->route->objective_ms / QUEUE_PART : end_ms / QUEUE_PART;
+	queue_ms =
+		r->route->objective_ms ? r->route->objective_ms / QUEUE_PART : end_ms / QUEUE_PART;
 	if (queue_ms < QUEUE_MIN_MS)
 		queue_ms = QUEUE_MIN_MS;
 	if (queue_ms > end_ms / 2)
@@ -449,9 +462,9 @@
 		return;
 	}
 	r->config = mesh_config_ref(r->board->config);
-	if (!host || !*r->id) {
+	if (http_msg_count(r->msg, "host") != 1 || !*r->id) {
 		board_count(r->board, COUNT_NO_ROUTE);
-		answer_own(r, 400, 0, host ? "no request id" : "no host");
+		answer_own(r, 400, 0, *r->id ? "not one host" : "no request id");
 		return;
 	}
 	r->route = mesh_config_route(r->config, host, http_msg_target(r->msg));
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -66,10 +66,12 @@
 		   load.in_flight);
 	buf_printf(out, "# TYPE briarreel_target_queued gauge\nbriarreel_target_queued %u\n",
 		   load.queued);
+	buf_printf(out, "# TYPE briarreel_target_phase gauge\nbriarreel_target_phase %d\n",
+		   (int)target_status(b->target)->phase);
 	buf_printf(out, "# TYPE briarreel_members gauge\nbriarreel_members %zu\n",
 		   members_count(b->members));
-	buf_printf(out, "# TYPE briarreel_config_version gauge\nbriarreel_config_version %" PRIu64
-			"\n",
+	buf_printf(out,
+		   "# TYPE briarreel_config_version gauge\nbriarreel_config_version %" PRIu64 "\n",
 		   b->config ? b->config->version : 0);
 	buf_printf(out,
 		   "# TYPE briarreel_config_confirmed_age_ms gauge\n"
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -133,9 +133,8 @@
 	      EVENT_NUMBER("slots", t->status.slots));
 	t->status.phase = phase;
 	if (phase == TARGET_LEAVING)
-		t->leaving_until_us = clock_now_us() + t->board->settings->drain_ms *
-							       BR_US_PER_MS / 100 *
-							       DRAIN_USED_PERCENT;
+		t->leaving_until_us = clock_now_us() + t->board->settings->drain_ms * BR_US_PER_MS /
+							       100 * DRAIN_USED_PERCENT;
 	if (phase == TARGET_GONE)
 		br_admission_drop_all(t->queue);
 	t->changed(t->ctx);
@@ -221,8 +220,8 @@
 	if (fate == HTTP_CALL_NOT_SENT) {
 		end_job(t, job, JOB_NOT_RUN, JOB_REASON_UNREACHABLE, NULL, false);
 	} else if (fate == HTTP_CALL_LOST) {
-		end_job(t, job, JOB_LOST, err == UV_ETIMEDOUT ? JOB_REASON_TIMEOUT
-							      : JOB_REASON_BROKEN, NULL, true);
+		end_job(t, job, JOB_LOST,
+			err == UV_ETIMEDOUT ? JOB_REASON_TIMEOUT : JOB_REASON_BROKEN, NULL, true);
 	} else if (!ran) {
 		http_msg_destroy(msg);
 		end_job(t, job, JOB_NOT_RUN, JOB_REASON_SHED, NULL, true);
--- a/mesh/view_watch.c
+++ b/mesh/view_watch.c
@@ -52,8 +52,7 @@
 		else
 			members_put(w->board->members, node, item->value, item->len);
 		/* An older lease of this node has ended, or an operator removed the entry. */
-		if (item->deleted && !strcmp(node, w->board->settings->node) &&
-		    !w->board->stopping)
+		if (item->deleted && !strcmp(node, w->board->settings->node) && !w->board->stopping)
 			presence_write(w->presence);
 	} else if (!strcmp(item->key, ELECTION_KEY)) {
 		w->keeper_seen = !item->deleted;
--- a/net/http_msg.c
+++ b/net/http_msg.c
@@ -42,11 +42,29 @@
 	return NULL;
 }
 
+uint32_t http_msg_count(const struct http_msg *m, const char *name)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < m->n_fields; i++)
+		n += !strcasecmp(http_msg_name(m, i), name);
+	return n;
+}
+
 bool http_field_is_hop(const char *name)
 {
 	static const char *const hop[] = {
-		"connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length",
-		"te", "trailer", "upgrade", "expect", "proxy-authenticate", "proxy-authorization",
+		"connection",
+		"keep-alive",
+		"proxy-connection",
+		"transfer-encoding",
+		"content-length",
+		"te",
+		"trailer",
+		"upgrade",
+		"expect",
+		"proxy-authenticate",
+		"proxy-authorization",
 	};
 
 	for (size_t i = 0; i < sizeof(hop) / sizeof(hop[0]); i++)
--- a/net/http_msg.h
+++ b/net/http_msg.h
@@ -41,6 +41,9 @@
 /** Value of the first field of that name in any case, or NULL. */
 const char *http_msg_find(const struct http_msg *m, const char *name);
 
+/** Number of fields of that name. */
+uint32_t http_msg_count(const struct http_msg *m, const char *name);
+
 /** True for fields that concern one connection or the framing, which a proxy does not forward. */
 bool http_field_is_hop(const char *name);
 
--- a/net/http_pool.c
+++ b/net/http_pool.c
@@ -91,7 +91,8 @@
 	}
 }
 
-static void end_call(struct http_call *call, enum http_call_fate fate, struct http_msg *msg, int err)
+static void end_call(struct http_call *call, enum http_call_fate fate, struct http_msg *msg,
+		     int err)
 {
 	timer_cancel(&call->timer);
 	buf_free(&call->bytes);
--- a/net/http_pool.h
+++ b/net/http_pool.h
@@ -24,7 +24,8 @@
 /** One call, embedded by its owner; it must stay valid until done is called or it is cancelled. */
 struct http_call {
 	/** Set by the owner. msg is the answer, owned by the callee, or NULL; err is negative then. */
-	void (*done)(struct http_call *call, enum http_call_fate fate, struct http_msg *msg, int err);
+	void (*done)(struct http_call *call, enum http_call_fate fate, struct http_msg *msg,
+		     int err);
 	/** Optional: false for an answer that belongs to another request; the next one is awaited. */
 	bool (*belongs)(struct http_call *call, const struct http_msg *msg);
 	/** Time after which an unanswered call ends with -ETIMEDOUT; 0 for none. */
--- /dev/null
+++ b/standins/mesh/kv.c
@@ -0,0 +1,383 @@
+#include "standins/mesh/kv.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <pthread.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define ITEMS_MAX 256
+#define LEASES_MAX 256
+#define KEY_BYTES 200
+#define SILENT_S 30
+
+struct item {
+	char key[KEY_BYTES];
+	/** Base64; NULL once the item is removed. */
+	char *value;
+	uint64_t revision, created, lease;
+};
+
+struct lease {
+	uint64_t id, ttl_ms, until_ms;
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+static struct item items[ITEMS_MAX];
+static struct lease leases[LEASES_MAX];
+static uint64_t revision = 1, history_from, next_lease = 100;
+static enum kv_fault fault;
+
+static uint64_t now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static struct item *find(const char *key)
+{
+	for (int i = 0; i < ITEMS_MAX; i++)
+		if (!strcmp(items[i].key, key))
+			return &items[i];
+	return NULL;
+}
+
+static void write_item(const char *key, const char *value, uint64_t lease)
+{
+	struct item *it = find(key);
+
+	for (int i = 0; i < ITEMS_MAX && !it; i++)
+		if (!items[i].key[0])
+			it = &items[i];
+	if (!it)
+		abort();
+	if (!it->value)
+		it->created = revision + 1;
+	free(it->value);
+	snprintf(it->key, sizeof(it->key), "%s", key);
+	it->value = value ? strdup(value) : NULL;
+	it->revision = ++revision;
+	it->lease = lease;
+	pthread_cond_broadcast(&changed);
+}
+
+static struct lease *find_lease(uint64_t id)
+{
+	for (int i = 0; i < LEASES_MAX; i++)
+		if (id && leases[i].id == id)
+			return &leases[i];
+	return NULL;
+}
+
+static void end_lease(struct lease *l)
+{
+	for (int i = 0; i < ITEMS_MAX; i++)
+		if (items[i].value && items[i].lease == l->id)
+			write_item(items[i].key, NULL, 0);
+	l->id = 0;
+}
+
+static void expire(void)
+{
+	for (int i = 0; i < LEASES_MAX; i++)
+		if (leases[i].id && now_ms() >= leases[i].until_ms)
+			end_lease(&leases[i]);
+}
+
+static struct json_object *item_json(const struct item *it)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "key", json_object_new_string(it->key));
+	json_object_object_add(o, "revision", json_object_new_uint64(it->revision));
+	if (!it->value) {
+		json_object_object_add(o, "deleted", json_object_new_boolean(1));
+		return o;
+	}
+	json_object_object_add(o, "value", json_object_new_string(it->value));
+	json_object_object_add(o, "created", json_object_new_uint64(it->created));
+	json_object_object_add(o, "lease", json_object_new_uint64(it->lease));
+	return o;
+}
+
+static bool answer_json(int fd, int status, struct json_object *o)
+{
+	bool ok;
+
+	pthread_mutex_unlock(&lock);
+	ok = http_answer(fd, status, "Content-Type: application/json\r\n",
+			 json_object_to_json_string(o));
+	json_object_put(o);
+	pthread_mutex_lock(&lock);
+	return ok;
+}
+
+static bool handle_key(int fd, const struct http_in *in)
+{
+	char key[KEY_BYTES];
+	struct item *it;
+	struct json_object *o;
+
+	http_in_query(in, "key", key, sizeof(key));
+	it = find(key);
+	o = it && it->value ? item_json(it) : json_object_new_object();
+	json_object_object_add(o, "at", json_object_new_uint64(revision));
+	return answer_json(fd, it && it->value ? 200 : 404, o);
+}
+
+static struct json_object *matching(const char *prefix, uint64_t after, bool deleted)
+{
+	struct json_object *list = json_object_new_array();
+
+	for (int i = 0; i < ITEMS_MAX; i++)
+		if (items[i].key[0] && !strncmp(items[i].key, prefix, strlen(prefix)) &&
+		    items[i].revision > after && (deleted || items[i].value))
+			json_object_array_add(list, item_json(&items[i]));
+	return list;
+}
+
+static bool handle_range(int fd, const struct http_in *in)
+{
+	struct json_object *o = json_object_new_object();
+	char prefix[KEY_BYTES];
+
+	http_in_query(in, "prefix", prefix, sizeof(prefix));
+	json_object_object_add(o, "items", matching(prefix, 0, false));
+	json_object_object_add(o, "hasMore", json_object_new_boolean(0));
+	json_object_object_add(o, "at", json_object_new_uint64(revision));
+	return answer_json(fd, 200, o);
+}
+
+static bool handle_watch(int fd, const struct http_in *in)
+{
+	char prefix[KEY_BYTES], number[32];
+	struct json_object *o, *events;
+	uint64_t after, until_ms;
+
+	http_in_query(in, "prefix", prefix, sizeof(prefix));
+	http_in_query(in, "after", number, sizeof(number));
+	after = strtoull(number, NULL, 10);
+	http_in_query(in, "waitMs", number, sizeof(number));
+	until_ms = now_ms() + strtoull(number, NULL, 10);
+	for (;;) {
+		struct timespec ts;
+
+		expire();
+		if (after < history_from)
+			return answer_json(fd, 410, json_object_new_object());
+		events = matching(prefix, after, true);
+		if (json_object_array_length(events) || now_ms() >= until_ms || fault != KV_SOUND)
+			break;
+		json_object_put(events);
+		clock_gettime(CLOCK_REALTIME, &ts);
+		ts.tv_nsec += 20000000;
+		if (ts.tv_nsec >= 1000000000) {
+			ts.tv_sec++;
+			ts.tv_nsec -= 1000000000;
+		}
+		pthread_cond_timedwait(&changed, &lock, &ts);
+	}
+	if (fault != KV_SOUND) {
+		json_object_put(events);
+		return false;
+	}
+	o = json_object_new_object();
+	json_object_object_add(o, "events", events);
+	json_object_object_add(o, "at", json_object_new_uint64(revision));
+	return answer_json(fd, 200, o);
+}
+
+static const char *text_of(struct json_object *o, const char *name)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, name, &v) ? json_object_get_string(v) : "";
+}
+
+static uint64_t number_of(struct json_object *o, const char *name)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, name, &v) ? json_object_get_uint64(v) : 0;
+}
+
+static bool conditions_hold(struct json_object *rows)
+{
+	for (size_t i = 0; i < json_object_array_length(rows); i++) {
+		struct json_object *row = json_object_array_get_idx(rows, i);
+		struct item *it = find(text_of(row, "key"));
+
+		if ((it && it->value ? it->revision : 0) != number_of(row, "revision"))
+			return false;
+	}
+	return true;
+}
+
+static bool answer_conflict(int fd, struct json_object *rows)
+{
+	struct json_object *o = json_object_new_object(), *list = json_object_new_array();
+
+	for (size_t i = 0; i < json_object_array_length(rows); i++) {
+		struct item *it = find(text_of(json_object_array_get_idx(rows, i), "key"));
+
+		if (it)
+			json_object_array_add(list, item_json(it));
+	}
+	json_object_object_add(o, "items", list);
+	return answer_json(fd, 412, o);
+}
+
+static bool handle_txn(int fd, const struct http_in *in)
+{
+	struct json_object *o = json_tokener_parse(in->body), *rows, *puts, *deletes, *reply;
+	bool ok;
+
+	if (!json_object_object_get_ex(o, "expectedRevision", &rows) ||
+	    !json_object_object_get_ex(o, "puts", &puts) ||
+	    !json_object_object_get_ex(o, "deleteKeys", &deletes)) {
+		json_object_put(o);
+		return answer_json(fd, 400, json_object_new_object());
+	}
+	if (!conditions_hold(rows)) {
+		ok = answer_conflict(fd, rows);
+		json_object_put(o);
+		return ok;
+	}
+	for (size_t i = 0; i < json_object_array_length(puts); i++) {
+		struct json_object *put = json_object_array_get_idx(puts, i);
+
+		if (number_of(put, "lease") && !find_lease(number_of(put, "lease"))) {
+			json_object_put(o);
+			return answer_json(fd, 404, json_object_new_object());
+		}
+		write_item(text_of(put, "key"), text_of(put, "value"), number_of(put, "lease"));
+	}
+	for (size_t i = 0; i < json_object_array_length(deletes); i++)
+		write_item(json_object_get_string(json_object_array_get_idx(deletes, i)), NULL, 0);
+	json_object_put(o);
+	reply = json_object_new_object();
+	json_object_object_add(reply, "revision", json_object_new_uint64(revision));
+	return answer_json(fd, 200, reply);
+}
+
+static bool answer_lease(int fd, int status, const struct lease *l)
+{
+	struct json_object *o = json_object_new_object();
+	char ttl[32];
+
+	if (l) {
+		snprintf(ttl, sizeof(ttl), "%" PRIu64 "ms", l->ttl_ms);
+		json_object_object_add(o, "lease", json_object_new_uint64(l->id));
+		json_object_object_add(o, "ttl_time", json_object_new_string(ttl));
+	}
+	return answer_json(fd, status, o);
+}
+
+static bool handle_lease(int fd, const struct http_in *in)
+{
+	struct json_object *o = json_tokener_parse(in->body);
+	struct lease *l = NULL;
+
+	for (int i = 0; i < LEASES_MAX && !l; i++)
+		if (!leases[i].id)
+			l = &leases[i];
+	if (!l)
+		abort();
+	l->id = next_lease++;
+	l->ttl_ms = strtoull(text_of(o, "ttl_time"), NULL, 10);
+	l->until_ms = now_ms() + l->ttl_ms;
+	json_object_put(o);
+	return answer_lease(fd, 200, l);
+}
+
+static bool handle_keep(int fd, const struct http_in *in, const char *path, bool end)
+{
+	struct lease *l = find_lease(strtoull(in->target + strlen(path), NULL, 10));
+
+	if (l && end)
+		end_lease(l);
+	else if (l)
+		l->until_ms = now_ms() + l->ttl_ms;
+	return answer_lease(fd, l ? 200 : 404, l);
+}
+
+static bool begins(const char *text, const char *prefix)
+{
+	return !strncmp(text, prefix, strlen(prefix));
+}
+
+static bool dispatch(int fd, const struct http_in *in)
+{
+	if (begins(in->target, "/kv-key?"))
+		return handle_key(fd, in);
+	if (begins(in->target, "/kv-range?"))
+		return handle_range(fd, in);
+	if (begins(in->target, "/kv-watch?"))
+		return handle_watch(fd, in);
+	if (begins(in->target, "/kv-txn"))
+		return handle_txn(fd, in);
+	if (begins(in->target, "/kv-lease-end/"))
+		return handle_keep(fd, in, "/kv-lease-end/", true);
+	if (begins(in->target, "/kv-lease"))
+		return handle_lease(fd, in);
+	if (begins(in->target, "/kv-keep/"))
+		return handle_keep(fd, in, "/kv-keep/", false);
+	return answer_json(fd, 404, json_object_new_object());
+}
+
+bool kv_handle(int fd, const struct http_in *in)
+{
+	bool ok;
+
+	pthread_mutex_lock(&lock);
+	expire();
+	if (fault == KV_SOUND) {
+		ok = dispatch(fd, in);
+	} else if (fault == KV_REFUSES) {
+		ok = answer_json(fd, 503, json_object_new_object());
+	} else {
+		pthread_mutex_unlock(&lock);
+		sleep(SILENT_S);
+		return false;
+	}
+	pthread_mutex_unlock(&lock);
+	return ok;
+}
+
+void kv_put(const char *key, const char *value)
+{
+	size_t bytes = sodium_base64_encoded_len(strlen(value), sodium_base64_VARIANT_ORIGINAL);
+	char *text = malloc(bytes);
+
+	if (!text)
+		abort();
+	sodium_bin2base64(text, bytes, (const unsigned char *)value, strlen(value),
+			  sodium_base64_VARIANT_ORIGINAL);
+	pthread_mutex_lock(&lock);
+	write_item(key, text, 0);
+	pthread_mutex_unlock(&lock);
+	free(text);
+}
+
+void kv_set_fault(enum kv_fault f)
+{
+	pthread_mutex_lock(&lock);
+	fault = f;
+	pthread_cond_broadcast(&changed);
+	pthread_mutex_unlock(&lock);
+}
+
+void kv_compact(void)
+{
+	pthread_mutex_lock(&lock);
+	history_from = ++revision;
+	pthread_cond_broadcast(&changed);
+	pthread_mutex_unlock(&lock);
+}
