Give a target's calls the rank of the request behind them

All accounts have one priority, so that it hid the routes' priorities. Change: requests are ranked by account, then by route; a call takes the rank of the running request whose id begins its own, and goes before new requests of that rank; a request that failed for its calls is not sent to another target. Tried and removed: refusing a share of new requests while calls fail.

--- a/mesh/job.h
+++ b/mesh/job.h
@@ -47,6 +47,8 @@
 	struct http_msg *answer;
 	/** The request has reached the target. */
 	bool reached;
+	/** A call that the target made for the request was refused or failed. */
+	bool call_failed;
 };
 
 struct job {
@@ -61,14 +63,19 @@
 	uint64_t route_hash;
 	/** The target must stop then, and the queue may hold the job until then. */
 	uint64_t deadline_us, queue_until_us;
-	uint8_t priority;
+	/** Rank of the caller's request behind this one, 0 being the most important. */
+	uint8_t rank;
 	bool idempotent;
+	/** The request is a call of a target, made for another request. */
+	bool is_call;
 	/** Called once unless the job is cancelled. */
 	void (*done)(struct job *job, const struct job_end *end);
 	/** Private: exactly one of the two ways is in use. */
 	struct http_call call;
 	struct br_admission_entry entry;
 	uint64_t started_us;
+	bool call_failed;
+	struct job *prev_running, *next_running;
 	void *runner;
 	void (*cancel)(struct job *job);
 };
--- a/mesh/model.c
+++ b/mesh/model.c
@@ -56,8 +56,54 @@
 	return br_hash64(plain, n, 0);
 }
 
+/* Account before route; a request without an account counts as one of an account like its route. */
+static uint8_t pair_of(const struct mesh_route *route, const struct mesh_account *account)
+{
+	uint8_t major = account && account->has_priority ? account->priority : route->priority;
+
+	return (uint8_t)(major * BR_PRIORITIES + route->priority);
+}
+
+static void add_pair(struct mesh_config *c, uint8_t pair)
+{
+	uint32_t i = 0;
+
+	while (i < c->n_pairs && c->pairs[i] < pair)
+		i++;
+	if (c->n_pairs == MESH_PRIORITY_PAIRS || (i < c->n_pairs && c->pairs[i] == pair))
+		return;
+	memmove(&c->pairs[i + 1], &c->pairs[i], c->n_pairs - i);
+	c->pairs[i] = pair;
+	c->n_pairs++;
+}
+
+/* Open routes are mostly the targets' own calls, which take the rank of the request behind them. */
+static void index_priorities(struct mesh_config *c)
+{
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		if (c->routes[i].open || !c->n_accounts)
+			continue;
+		for (uint32_t k = 0; k < c->n_accounts; k++)
+			add_pair(c, pair_of(&c->routes[i], &c->accounts[k]));
+	}
+	for (uint32_t i = 0; i < c->n_routes && !c->n_pairs; i++)
+		add_pair(c, pair_of(&c->routes[i], NULL));
+}
+
+uint8_t mesh_config_rank(const struct mesh_config *c, const struct mesh_route *route,
+			 const struct mesh_account *account)
+{
+	uint8_t pair = pair_of(route, account);
+	uint32_t i = 0;
+
+	while (i + 1 < c->n_pairs && c->pairs[i] < pair)
+		i++;
+	return (uint8_t)(c->n_pairs > MESH_RANKS ? i * MESH_RANKS / c->n_pairs : i);
+}
+
 void mesh_config_index(struct mesh_config *c)
 {
+	index_priorities(c);
 	for (uint32_t i = 0; i < c->n_routes; i++) {
 		c->routes[i].host_hash = host_hash(c->routes[i].host);
 		c->routes[i].prefix_len = strlen(c->routes[i].prefix);
--- a/mesh/model.h
+++ b/mesh/model.h
@@ -92,6 +92,11 @@
 	uint32_t account;
 };
 
+/** Ranks of requests: 0 is the most important. */
+#define MESH_RANKS 4
+/** Pairs of priorities that a configuration tells apart; more share ranks. */
+#define MESH_PRIORITY_PAIRS 64
+
 /** One version of the operator's configuration. Immutable; shared by reference count. */
 struct mesh_config {
 	uint32_t refs;
@@ -105,6 +110,9 @@
 	/** Sorted by text. */
 	struct mesh_key *keys;
 	uint32_t n_keys;
+	/** Priorities of account and route that occur, the most important first. */
+	uint8_t pairs[MESH_PRIORITY_PAIRS];
+	uint32_t n_pairs;
 	uint32_t header_bytes;
 	uint64_t body_bytes;
 	uint64_t header_timeout_ms, idle_timeout_ms;
@@ -147,6 +155,13 @@
 /** Index of the account that holds a key, or -1. */
 int mesh_config_account(const struct mesh_config *c, const char *key);
 
+/**
+ * Rank of a request, from 0 to MESH_RANKS - 1: by the priority of the account first (NULL for
+ * none), then by that of the route.
+ */
+uint8_t mesh_config_rank(const struct mesh_config *c, const struct mesh_route *route,
+			 const struct mesh_account *account);
+
 /** Index of a service, or -1. */
 int mesh_config_service(const struct mesh_config *c, const char *name);
 
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -18,12 +18,8 @@
 	return (struct job *)((char *)call - offsetof(struct job, call));
 }
 
-static void end_job(struct job *job, enum job_result result, enum job_reason reason,
-		    struct http_msg *answer, bool reached)
+static void end_job(struct job *job, struct job_end end)
 {
-	struct job_end end = {
-		.result = result, .reason = reason, .answer = answer, .reached = reached};
-
 	job->cancel = NULL;
 	job->done(job, &end);
 }
@@ -82,7 +78,8 @@
 	if (fate == HTTP_CALL_NOT_SENT) {
 		br_balance_note_failure(run->board->balance, &run->id, now_us);
 		finish(job, BR_BALANCE_CANCELLED);
-		end_job(job, JOB_NOT_RUN, JOB_REASON_UNREACHABLE, NULL, false);
+		end_job(job, (struct job_end){.result = JOB_NOT_RUN,
+					      .reason = JOB_REASON_UNREACHABLE});
 		return;
 	}
 	if (!text || peer_read_end(text, &end)) {
@@ -90,8 +87,10 @@
 			br_balance_note_failure(run->board->balance, &run->id, now_us);
 		finish(job, BR_BALANCE_ERROR);
 		http_msg_destroy(msg);
-		end_job(job, JOB_LOST, err == -ETIMEDOUT ? JOB_REASON_TIMEOUT : JOB_REASON_BROKEN,
-			NULL, true);
+		end_job(job, (struct job_end){.result = JOB_LOST,
+					      .reason = err == -ETIMEDOUT ? JOB_REASON_TIMEOUT
+									  : JOB_REASON_BROKEN,
+					      .reached = true});
 		return;
 	}
 	note_answer(run, &end, now_us);
@@ -103,7 +102,11 @@
 		http_msg_destroy(msg);
 		msg = NULL;
 	}
-	end_job(job, end.result, end.reason, msg, end.reached);
+	end_job(job, (struct job_end){.result = end.result,
+				      .reason = end.reason,
+				      .answer = msg,
+				      .reached = end.reached,
+				      .call_failed = end.call_failed});
 }
 
 static void cancel(struct job *job)
@@ -194,6 +197,7 @@
 	struct peer_end head = {.result = end->result,
 				.reason = end->reason,
 				.reached = end->reached,
+				.call_failed = end->call_failed,
 				.version = version_of(board),
 				.confirmed_ms = config_confirmed_ms(board)};
 	const struct http_msg *m = end->answer;
@@ -269,8 +273,9 @@
 		.route_hash = pc->head.route_hash,
 		.deadline_us = now_us + pc->head.left_ms * BR_US_PER_MS,
 		.queue_until_us = now_us + pc->head.queue_ms * BR_US_PER_MS,
-		.priority = pc->head.priority,
+		.rank = pc->head.rank,
 		.idempotent = pc->head.idempotent,
+		.is_call = pc->head.is_call,
 		.done = on_job_done,
 	};
 	target_run(board->target, &pc->job);
--- a/mesh/peer_format.c
+++ b/mesh/peer_format.c
@@ -28,25 +28,26 @@
 {
 	buf_printf(b,
 		   PEER_JOB_FIELD ": %" PRIu64 " %" PRIu64 " %" PRIu64 " %" PRIx64 " %" PRIx64
-				  " %u %u %s %s %s\r\n",
+				  " %u %u %u %s %s %s\r\n",
 		   left_ms(job->deadline_us, now_us), left_ms(job->queue_until_us, now_us), version,
-		   job->account_hash, job->route_hash, job->priority, job->idempotent,
+		   job->account_hash, job->route_hash, job->rank, job->idempotent, job->is_call,
 		   text_or_none(job->target), text_or_none(job->account),
 		   text_or_none(job->caller_service));
 }
 
 int peer_read_job(const char *text, struct peer_job *out)
 {
-	unsigned int priority, idempotent;
+	unsigned int rank, idempotent, is_call;
 
 	if (sscanf(text,
 		   "%" SCNu64 " %" SCNu64 " %" SCNu64 " %" SCNx64 " %" SCNx64
-		   " %u %u %63s %63s %63s",
+		   " %u %u %u %63s %63s %63s",
 		   &out->left_ms, &out->queue_ms, &out->version, &out->account_hash,
-		   &out->route_hash, &priority, &idempotent, out->target, out->account,
-		   out->caller_service) != 10)
+		   &out->route_hash, &rank, &idempotent, &is_call, out->target, out->account,
+		   out->caller_service) != 11)
 		return -EINVAL;
-	out->priority = (uint8_t)(priority < BR_PRIORITIES ? priority : BR_PRIORITIES - 1);
+	out->rank = (uint8_t)(rank < MESH_RANKS ? rank : MESH_RANKS - 1);
+	out->is_call = is_call != 0;
 	out->idempotent = idempotent != 0;
 	none_to_empty(out->target);
 	none_to_empty(out->account);
@@ -56,23 +57,24 @@
 
 void peer_write_end(struct buf *b, const struct peer_end *end)
 {
-	buf_printf(b, PEER_END_FIELD ": %d %s %d %u %u %u %" PRIu64 " %" PRIu64 "\r\n",
-		   (int)end->result, job_reason_text(end->reason), end->reached, end->in_flight,
+	buf_printf(b, PEER_END_FIELD ": %d %s %d %d %u %u %u %" PRIu64 " %" PRIu64 "\r\n",
+		   (int)end->result, job_reason_text(end->reason), end->reached, end->call_failed, end->in_flight,
 		   end->queued, end->limit, end->version, end->confirmed_ms);
 }
 
 int peer_read_end(const char *text, struct peer_end *out)
 {
 	char reason[BR_NAME_BYTES];
-	unsigned int result, reached;
+	unsigned int result, reached, call_failed;
 
-	if (sscanf(text, "%u %63s %u %u %u %u %" SCNu64 " %" SCNu64, &result, reason, &reached,
-		   &out->in_flight, &out->queued, &out->limit, &out->version,
-		   &out->confirmed_ms) != 8 ||
+	if (sscanf(text, "%u %63s %u %u %u %u %u %" SCNu64 " %" SCNu64, &result, reason, &reached,
+		   &call_failed, &out->in_flight, &out->queued, &out->limit, &out->version,
+		   &out->confirmed_ms) != 9 ||
 	    result > JOB_LOST)
 		return -EINVAL;
 	out->result = (enum job_result)result;
 	out->reason = job_reason_of(reason);
 	out->reached = reached != 0;
+	out->call_failed = call_failed != 0;
 	return 0;
 }
--- a/mesh/peer_format.h
+++ b/mesh/peer_format.h
@@ -18,8 +18,8 @@
 	/** Configuration in force at the sender. */
 	uint64_t version;
 	uint64_t account_hash, route_hash;
-	uint8_t priority;
-	bool idempotent;
+	uint8_t rank;
+	bool idempotent, is_call;
 	char target[BR_NAME_BYTES];
 	char account[BR_NAME_BYTES];
 	char caller_service[BR_NAME_BYTES];
@@ -29,7 +29,7 @@
 struct peer_end {
 	enum job_result result;
 	enum job_reason reason;
-	bool reached;
+	bool reached, call_failed;
 	/** Requests of the target in flight and waiting, and its concurrency limit. */
 	uint32_t in_flight, queued, limit;
 	/** Configuration in force at the sender, and how long ago it knew of no newer one. */
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -48,7 +48,9 @@
 	struct quota_wait quota_wait;
 	struct timer *timer;
 	struct job job;
-	bool job_active;
+	bool job_active, is_call;
+	uint8_t rank;
+	uint64_t account_hash;
 	char target[BR_NAME_BYTES];
 	struct br_node_id tried[TRIED_MAX];
 	uint32_t n_tried, reached, refusals;
@@ -82,6 +84,8 @@
 
 static void finish(struct request *r, struct request_answer *answer)
 {
+	if (answer->status >= 429)
+		target_call_failed(r->board->target, r->id);
 	r->done(r->ctx, r, answer);
 	buf_free(&answer->fields);
 	buf_free(&answer->body);
@@ -242,7 +246,7 @@
 		r->reached++;
 	switch (end->result) {
 	case JOB_ANSWERED:
-		if (answer->status >= 500 && answer->status != 504 && may_repeat(r)) {
+		if (answer->status >= 500 && answer->status != 504 && !end->call_failed && may_repeat(r)) {
 			http_msg_destroy(r->failure);
 			r->failure = answer;
 			try_next(r);
@@ -329,12 +333,12 @@
 		.target = r->target,
 		.account = r->account ? r->account->name : "",
 		.caller_service = r->board->settings->service,
-		.account_hash = r->account ? r->account->name_hash : 0,
+		.account_hash = r->account_hash,
 		.route_hash = br_hash_str(r->route->name, 0),
 		.deadline_us = r->deadline_us,
 		.queue_until_us = r->queue_until_us,
-		.priority = r->account && r->account->has_priority ? r->account->priority
-								   : r->route->priority,
+		.rank = r->rank,
+		.is_call = r->is_call,
 		.idempotent = r->route->idempotent,
 		.done = on_job_done,
 	};
@@ -366,10 +370,21 @@
 	return route->parts[0].service;
 }
 
+/* A call of the target of this VM counts as part of the request for which it is made. */
+static void set_rank(struct request *r)
+{
+	const struct job *caller = target_caller_of(r->board->target, r->id);
+
+	r->is_call = caller != NULL;
+	r->rank = caller ? caller->rank : mesh_config_rank(r->config, r->route, r->account);
+	r->account_hash = r->account ? r->account->name_hash : caller ? caller->account_hash : 0;
+}
+
 static void dispatch(struct request *r)
 {
 	struct br_retry_budget_cfg cfg = budget_cfg(r->board);
 
+	set_rank(r);
 	r->service = choose_service(r->route, &r->board->rng);
 	br_retry_budget_request(budget_of(r), &cfg, n_nodes(r->board), clock_now_us());
 	try_next(r);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -14,6 +14,7 @@
 #define ANSWER_HEADER_BYTES 65536
 #define ANSWER_BODY_BYTES (64ULL * 1024 * 1024)
 #define TICK_MS 20
+#define CALL_ID_SEPARATOR '.'
 /*
  * A connection that was idle longer may be closed by the target while a request is on its way,
  * and then nobody knows whether that ran. What may run once only goes on a fresher one.
@@ -32,6 +33,7 @@
 	uint64_t born_ms, sequence, leaving_until_us;
 	struct br_admission *queue;
 	struct http_pool *pool;
+	struct job *running;
 	struct timer *ticker;
 	uint64_t opened_before;
 };
@@ -41,8 +43,11 @@
 static void end_job(struct target *t, struct job *job, enum job_result result,
 		    enum job_reason reason, struct http_msg *answer, bool reached)
 {
-	struct job_end end = {
-		.result = result, .reason = reason, .answer = answer, .reached = reached};
+	struct job_end end = {.result = result,
+			      .reason = reason,
+			      .answer = answer,
+			      .reached = reached,
+			      .call_failed = job->call_failed};
 
 	job->cancel = NULL;
 	board_count(t->board, COUNT_TARGET_JOBS);
@@ -208,6 +213,49 @@
 	return not_run(msg) && !is_success(msg);
 }
 
+static void link_running(struct target *t, struct job *job)
+{
+	job->prev_running = NULL;
+	job->next_running = t->running;
+	if (t->running)
+		t->running->prev_running = job;
+	t->running = job;
+}
+
+static void unlink_running(struct target *t, struct job *job)
+{
+	if (job->prev_running)
+		job->prev_running->next_running = job->next_running;
+	else
+		t->running = job->next_running;
+	if (job->next_running)
+		job->next_running->prev_running = job->prev_running;
+}
+
+static struct job *find_caller(const struct target *t, const char *call_id)
+{
+	const char *end = strrchr(call_id, CALL_ID_SEPARATOR);
+	size_t len = end ? (size_t)(end - call_id) : 0;
+
+	for (struct job *job = t->running; len && job; job = job->next_running)
+		if (strlen(job->id) == len && !memcmp(job->id, call_id, len))
+			return job;
+	return NULL;
+}
+
+const struct job *target_caller_of(const struct target *t, const char *call_id)
+{
+	return find_caller(t, call_id);
+}
+
+void target_call_failed(struct target *t, const char *call_id)
+{
+	struct job *job = find_caller(t, call_id);
+
+	if (job)
+		job->call_failed = true;
+}
+
 static void on_answer(struct http_call *call, enum http_call_fate fate, struct http_msg *msg,
 		      int err)
 {
@@ -216,6 +264,7 @@
 	uint64_t now_us = clock_now_us();
 	bool ran = fate == HTTP_CALL_ANSWERED && !not_run(msg);
 
+	unlink_running(t, job);
 	br_admission_done(t->queue, &job->entry, ran ? now_us - job->started_us : 0, now_us);
 	if (fate == HTTP_CALL_NOT_SENT) {
 		end_job(t, job, JOB_NOT_RUN, JOB_REASON_UNREACHABLE, NULL, false);
@@ -240,6 +289,7 @@
 	struct target *t = job->runner;
 
 	http_call_cancel(&job->call);
+	unlink_running(t, job);
 	br_admission_done(t->queue, &job->entry, 0, clock_now_us());
 	start_next(t);
 }
@@ -258,6 +308,7 @@
 
 	job->started_us = now_us;
 	job->cancel = cancel_running;
+	link_running(t, job);
 	job->call = (struct http_call){
 		.done = on_answer,
 		.belongs = answer_belongs,
@@ -295,6 +346,12 @@
 	return t->status.phase == TARGET_GONE ? JOB_REASON_DRAINING : JOB_REASON_NONE;
 }
 
+/* Calls go before new requests of their rank: work behind them is lost if they are refused. */
+static uint8_t queue_priority(const struct job *job)
+{
+	return (uint8_t)(2 * job->rank + !job->is_call);
+}
+
 void target_run(struct target *t, struct job *job)
 {
 	uint64_t now_us = clock_now_us();
@@ -305,8 +362,9 @@
 		.data = job,
 		.account = job->account_hash,
 		.deadline_us = job->queue_until_us,
-		.priority = job->priority,
+		.priority = queue_priority(job),
 	};
+	job->call_failed = false;
 	if (closed != JOB_REASON_NONE) {
 		end_job(t, job, JOB_NOT_RUN, closed, NULL, false);
 		return;
--- a/mesh/target.h
+++ b/mesh/target.h
@@ -43,6 +43,15 @@
 /** Runs a job, now or once there is room. */
 void target_run(struct target *t, struct job *job);
 
+/**
+ * The job that the target is running and that made a call with this id, or NULL: the ids of calls
+ * begin with the id of the request for which they are made.
+ */
+const struct job *target_caller_of(const struct target *t, const char *call_id);
+
+/** A call with this id was refused or has failed: the job that made it is going to fail. */
+void target_call_failed(struct target *t, const char *call_id);
+
 /** Fills what an answer to another node says of the load. */
 void target_load(const struct target *t, struct peer_end *end);
 
