Grant half of the tolerated excess over an account's limit

Cause: tokens that a node fetched ahead and did not spend were missing later, so that requests within the limit were answered 429.

--- a/mesh/main.c
+++ b/mesh/main.c
@@ -135,6 +135,8 @@
 	n->settings.budget_ratio = read.budget_ratio;
 	n->settings.budget_window_ms = read.budget_window_ms;
 	n->settings.budget_extra = read.budget_extra;
+	n->settings.quota_over_part = read.quota_over_part;
+	n->settings.quota_over_extra = read.quota_over_extra;
 	EVENT(EVENT_INFO, "node", "reloaded", EVENT_TEXT("file", n->settings_path));
 }
 
--- a/mesh/model.h
+++ b/mesh/model.h
@@ -44,6 +44,9 @@
 	double budget_ratio;
 	uint64_t budget_window_ms;
 	uint32_t budget_extra;
+	/** What may be let through beyond an account's limit: a part of it, and a number a window. */
+	double quota_over_part;
+	uint32_t quota_over_extra;
 };
 
 /** One of the services among which a route's requests are split. */
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -16,6 +16,11 @@
 /* While requests wait for an answer. */
 #define TICK_MS 20
 #define IDLE_TICK_MS (BR_QUOTA_ASK_US / BR_US_PER_MS)
+/*
+ * Part of the tolerated excess that the keeper grants. Tokens that expire unspent at a node would
+ * otherwise be missing; the rest covers tokens that are spent a little later than they are granted.
+ */
+#define TOLERANCE_USED 0.5
 #define DATAGRAM_BYTES 1200
 #define ROWS_MAX 64
 #define MESSAGE_ASK 1
@@ -128,12 +133,16 @@
 
 static uint32_t keeper_grant(struct quota *q, uint64_t hash, uint32_t want, uint64_t now_us)
 {
+	const struct mesh_settings *set = q->board->settings;
 	const struct mesh_account *a = account_of(q, hash);
+	double over = 1 + set->quota_over_part * TOLERANCE_USED;
 
 	if (!a)
 		return 0;
 	br_quota_keeper_set_nodes(q->keeper, n_nodes(q));
-	return br_quota_keeper_grant(q->keeper, hash, a->rate_per_s, a->burst, want, now_us);
+	return br_quota_keeper_grant(q->keeper, hash, a->rate_per_s * over,
+				     a->burst * over + set->quota_over_extra * TOLERANCE_USED, want,
+				     now_us);
 }
 
 static void send_message(struct quota *q, const struct sockaddr *to, const struct message *m,
