Pick targets by expected time

Cause: targets of one service differ in speed by a factor of three, and the zone's own target was taken whatever its speed until its zone was loaded. Change: the balancer learns a slowness for each target relative to the usual time of each route, and compares one target of the own zone with one of another, with a charge for the other zone.

--- a/include/briarreel/balance.h
+++ b/include/briarreel/balance.h
@@ -16,6 +16,18 @@
 	const char *zone;
 	/** Monotonic time at which the target was first seen; 0 if it needs no warm-up. */
 	uint64_t joined_us;
+	/** The target has just started and is slower than it is going to be. */
+	bool cold;
+};
+
+/** What a request wants of its target. */
+struct br_balance_want {
+	/** Zone of the caller's node. */
+	const char *zone;
+	/** Requests of similar length have the same class, such as the hash of their route. */
+	uint64_t class;
+	/** Time within which the answer is worth most. */
+	uint64_t objective_us;
 };
 
 /** How a request to a target ended. */
@@ -56,6 +68,20 @@
 		    const char *zone, const struct br_node_id *exclude, size_t n_exclude,
 		    struct br_rng *rng, uint64_t now_us);
 
+/**
+ * Picks the candidate with the lower expected time of two random ones: the class's usual time,
+ * slowed by what is known of the target and by its load, plus a charge for another zone. Parameters
+ * and result are as for br_balance_pick().
+ */
+int br_balance_pick_fast(struct br_balance *b, const struct br_balance_candidate *candidates,
+			 size_t n, const struct br_balance_want *want,
+			 const struct br_node_id *exclude, size_t n_exclude, struct br_rng *rng,
+			 uint64_t now_us);
+
+/** Notes how long a target took for a request of a class. */
+void br_balance_note_time(struct br_balance *b, const struct br_node_id *id, uint64_t class,
+			  uint64_t time_us, uint64_t now_us);
+
 /** Notes that a request was sent. Returns 0, or -ENOMEM; then no end may be noted. */
 int br_balance_note_start(struct br_balance *b, const struct br_node_id *id, uint64_t now_us);
 
--- a/lib/balance.c
+++ b/lib/balance.c
@@ -21,6 +21,24 @@
 #define EJECT_MIN_US (1 * BR_US_PER_S)
 #define EJECT_MAX_US (30 * BR_US_PER_S)
 
+/* Classes of requests whose usual times are kept; more share rows. */
+#define CLASSES 64
+#define CLASS_WEIGHT 0.05
+#define SLOWNESS_WEIGHT 0.1
+#define SLOWNESS_MIN 0.1
+#define SLOWNESS_MAX 10.0
+/* What is known of a target's speed counts half after this time without a sample. */
+#define SLOWNESS_HALF_US (3.0 * BR_US_PER_S)
+/* Factor for a target that has just started. */
+#define COLD_SLOWNESS 2.0
+/* Load from which a target is expected to be slower, and by how much at its limit. */
+#define LOAD_FREE 0.6
+#define LOAD_SLOWDOWN 1.5
+/* A full target makes requests wait: cost of each further limit's worth of requests. */
+#define LOAD_QUEUE 2.0
+/* Charge for another zone, as a part of the objective: bytes between zones cost. */
+#define ZONE_CHARGE 0.2
+
 struct peer {
 	struct br_node_id id;
 	struct peer *chain;
@@ -34,11 +52,16 @@
 	uint32_t errors;
 	uint64_t first_error_us;
 	uint64_t eject_until_us, eject_us;
+	/** Times relative to those of all targets, as of timed_us; 0 if unknown. */
+	double slowness;
+	uint64_t timed_us;
 };
 
 struct br_balance {
 	uint64_t warmup_us;
 	struct br_balance_counters counters;
+	/** Usual time of each class at a target of slowness 1; 0 if unknown. */
+	double class_us[CLASSES];
 	struct peer *peers[BUCKETS];
 };
 
@@ -208,13 +231,13 @@
 	return &views[first];
 }
 
-int br_balance_pick(struct br_balance *b, const struct br_balance_candidate *candidates, size_t n,
-		    const char *zone, const struct br_node_id *exclude, size_t n_exclude,
-		    struct br_rng *rng, uint64_t now_us)
+/* Views of the candidates of the best tier that are not excluded. Returns their number. */
+static size_t usable_views(const struct br_balance *b,
+			   const struct br_balance_candidate *candidates, size_t n,
+			   const char *zone, const struct br_node_id *exclude, size_t n_exclude,
+			   struct br_rng *rng, uint64_t now_us, struct view *views)
 {
-	struct view views[CANDIDATES_MAX];
 	size_t offset = n > CANDIDATES_MAX ? br_rng_below(rng, n) : 0, kept = 0;
-	const struct view *chosen;
 	int tier = 3;
 
 	for (size_t k = 0; k < n && kept < CANDIDATES_MAX; k++) {
@@ -232,6 +255,17 @@
 		views[kept].local = strcmp(candidates[i].zone, zone) == 0;
 		look(b, &candidates[i], p, now_us, &views[kept++]);
 	}
+	return kept;
+}
+
+int br_balance_pick(struct br_balance *b, const struct br_balance_candidate *candidates, size_t n,
+		    const char *zone, const struct br_node_id *exclude, size_t n_exclude,
+		    struct br_rng *rng, uint64_t now_us)
+{
+	struct view views[CANDIDATES_MAX];
+	size_t kept = usable_views(b, candidates, n, zone, exclude, n_exclude, rng, now_us, views);
+	const struct view *chosen;
+
 	if (!kept)
 		return -ENOENT;
 	kept = prefer_zone(views, kept);
@@ -242,6 +276,108 @@
 	return (int)chosen->index;
 }
 
+static double slowness_of(const struct peer *p, uint64_t now_us)
+{
+	double age_us;
+
+	if (!p || p->slowness <= 0)
+		return 1;
+	age_us = now_us > p->timed_us ? (double)(now_us - p->timed_us) : 0;
+	return 1 + (p->slowness - 1) * SLOWNESS_HALF_US / (SLOWNESS_HALF_US + age_us);
+}
+
+static double load_factor(double load)
+{
+	if (load <= LOAD_FREE)
+		return 1;
+	if (load <= 1)
+		return 1 + (load - LOAD_FREE) / (1 - LOAD_FREE) * (LOAD_SLOWDOWN - 1);
+	return LOAD_SLOWDOWN + (load - 1) * LOAD_QUEUE;
+}
+
+/* Expected time as a part of the objective. */
+static double cost_of(const struct br_balance *b, const struct br_balance_candidate *c,
+		      const struct br_balance_want *want, const struct view *v, uint64_t now_us)
+{
+	double usual_us = b->class_us[want->class % CLASSES];
+	double objective_us = want->objective_us ? (double)want->objective_us : BR_US_PER_S;
+	double time_us;
+
+	/* Without a sample a tenth of the objective makes the factors comparable. */
+	if (usual_us <= 0)
+		usual_us = objective_us / 10;
+	time_us = usual_us * slowness_of(find(b, &c->id), now_us) *
+		  load_factor(v->load_n / v->limit) * (c->cold ? COLD_SLOWNESS : 1);
+	return time_us / objective_us + (v->local ? 0 : ZONE_CHARGE);
+}
+
+/* Draws one of the own zone's targets and one of the others', or two if all are of one kind. */
+static const struct view *cheaper_of_drawn(const struct br_balance *b,
+					   const struct br_balance_candidate *candidates,
+					   const struct br_balance_want *want,
+					   const struct view *views, size_t n, struct br_rng *rng,
+					   uint64_t now_us)
+{
+	size_t first = n == 1 ? 0 : draw(views, n, SIZE_MAX, rng), second = first;
+	size_t n_other = 0, at;
+
+	for (size_t i = 0; i < n; i++)
+		n_other += views[i].local != views[first].local;
+	at = n_other ? br_rng_below(rng, n_other) : 0;
+	for (size_t i = 0; n_other && i < n; i++)
+		if (views[i].local != views[first].local && at-- == 0) {
+			second = i;
+			break;
+		}
+	if (!n_other && n > 1)
+		second = draw(views, n, first, rng);
+	if (cost_of(b, &candidates[views[second].index], want, &views[second], now_us) <
+	    cost_of(b, &candidates[views[first].index], want, &views[first], now_us))
+		return &views[second];
+	return &views[first];
+}
+
+int br_balance_pick_fast(struct br_balance *b, const struct br_balance_candidate *candidates,
+			 size_t n, const struct br_balance_want *want,
+			 const struct br_node_id *exclude, size_t n_exclude, struct br_rng *rng,
+			 uint64_t now_us)
+{
+	struct view views[CANDIDATES_MAX];
+	size_t kept = usable_views(b, candidates, n, want->zone, exclude, n_exclude, rng, now_us,
+				   views);
+	const struct view *chosen;
+
+	if (!kept)
+		return -ENOENT;
+	chosen = cheaper_of_drawn(b, candidates, want, views, kept, rng, now_us);
+	b->counters.picks++;
+	if (!chosen->local)
+		b->counters.spilled++;
+	return (int)chosen->index;
+}
+
+void br_balance_note_time(struct br_balance *b, const struct br_node_id *id, uint64_t class,
+			  uint64_t time_us, uint64_t now_us)
+{
+	struct peer *p = find(b, id);
+	double *usual_us = &b->class_us[class % CLASSES];
+	double slowness, ratio;
+
+	if (!p || !time_us)
+		return;
+	slowness = slowness_of(p, now_us);
+	if (*usual_us <= 0)
+		*usual_us = (double)time_us / slowness;
+	ratio = (double)time_us / *usual_us;
+	if (ratio < SLOWNESS_MIN)
+		ratio = SLOWNESS_MIN;
+	if (ratio > SLOWNESS_MAX)
+		ratio = SLOWNESS_MAX;
+	*usual_us += ((double)time_us / slowness - *usual_us) * CLASS_WEIGHT;
+	p->slowness = slowness + (ratio - slowness) * SLOWNESS_WEIGHT;
+	p->timed_us = now_us;
+}
+
 int br_balance_note_start(struct br_balance *b, const struct br_node_id *id, uint64_t now_us)
 {
 	struct peer *p = add(b, id);
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -50,7 +50,9 @@
 	struct job job;
 	bool job_active, is_call;
 	uint8_t rank;
-	uint64_t account_hash;
+	uint64_t account_hash, route_hash;
+	/** Start of the try under way. */
+	uint64_t sent_us;
 	char target[BR_NAME_BYTES];
 	struct br_node_id tried[TRIED_MAX];
 	uint32_t n_tried, reached, refusals;
@@ -235,6 +237,16 @@
 		fail(r, 502, "answer lost");
 }
 
+/* A failure says little of how long a whole run takes. */
+static void note_time(struct request *r, const struct http_msg *answer)
+{
+	uint64_t now_us = clock_now_us();
+
+	if (answer->status < 500)
+		br_balance_note_time(r->board->balance, &r->tried[r->n_tried - 1], r->route_hash,
+				     now_us - r->sent_us, now_us);
+}
+
 static void on_job_done(struct job *job, const struct job_end *end)
 {
 	struct request *r = (struct request *)((char *)job - offsetof(struct request, job));
@@ -246,6 +258,7 @@
 		r->reached++;
 	switch (end->result) {
 	case JOB_ANSWERED:
+		note_time(r, answer);
 		if (answer->status >= 500 && answer->status != 504 && !end->call_failed && may_repeat(r)) {
 			http_msg_destroy(r->failure);
 			r->failure = answer;
@@ -290,7 +303,13 @@
 	size_t n = members_count(b->members), n_candidates = 0;
 	struct br_balance_candidate *candidates = xcalloc(n, sizeof(*candidates));
 	size_t *index = xcalloc(n, sizeof(*index));
+	struct br_balance_want want = {
+		.zone = b->settings->zone,
+		.class = r->route_hash,
+		.objective_us = r->route->objective_ms * BR_US_PER_MS,
+	};
 	struct member *chosen = NULL;
+	uint64_t now_us = clock_now_us();
 	int at;
 
 	for (size_t i = 0; i < n; i++) {
@@ -301,11 +320,14 @@
 		if (m->self)
 			report_own_load(b, m);
 		candidates[n_candidates] = (struct br_balance_candidate){
-			.id = m->id, .zone = m->zone, .joined_us = m->joined_us};
+			.id = m->id,
+			.zone = m->zone,
+			.joined_us = m->joined_us,
+			.cold = now_us < m->target.cold_until_us};
 		index[n_candidates++] = i;
 	}
-	at = n_candidates ? br_balance_pick(b->balance, candidates, n_candidates, b->settings->zone,
-					    r->tried, r->n_tried, &b->rng, clock_now_us())
+	at = n_candidates ? br_balance_pick_fast(b->balance, candidates, n_candidates, &want,
+						 r->tried, r->n_tried, &b->rng, now_us)
 			  : -1;
 	if (at >= 0)
 		chosen = members_at(b->members, index[at]);
@@ -334,7 +356,7 @@
 		.account = r->account ? r->account->name : "",
 		.caller_service = r->board->settings->service,
 		.account_hash = r->account_hash,
-		.route_hash = br_hash_str(r->route->name, 0),
+		.route_hash = r->route_hash,
 		.deadline_us = r->deadline_us,
 		.queue_until_us = r->queue_until_us,
 		.rank = r->rank,
@@ -343,6 +365,7 @@
 		.done = on_job_done,
 	};
 	r->job_active = true;
+	r->sent_us = clock_now_us();
 	peer_run(r->board, m, &r->job);
 }
 
@@ -375,6 +398,7 @@
 {
 	const struct job *caller = target_caller_of(r->board->target, r->id);
 
+	r->route_hash = br_hash_str(r->route->name, 0);
 	r->is_call = caller != NULL;
 	r->rank = caller ? caller->rank : mesh_config_rank(r->config, r->route, r->account);
 	r->account_hash = r->account ? r->account->name_hash : caller ? caller->account_hash : 0;
