--- a/lib/quota.c
+++ b/lib/quota.c
@@ -8,7 +8,7 @@
 /* The demand of an account is averaged over about this time. */
 #define DEMAND_US (1000.0 * BR_US_PER_MS)
 /* Tokens that a node's equal part may save up while it is not used. */
-#define PART_BURST 1.0
+#define PART_BURST 2.0
 
 struct row {
 	uint64_t key;
--- a/tests/unit/balance.c
+++ b/tests/unit/balance.c
@@ -201,3 +201,55 @@
 	cr_assert_eq(br_balance_outstanding(f.b, &f.c[0].id), 0);
 	br_balance_destroy(f.b);
 }
+
+/* Targets of one service differ in speed: the slow one of the own zone is not worth staying for. */
+Test(balance, fast_pick_leaves_a_slow_local_target)
+{
+	struct br_balance *b = br_balance_create(0);
+	struct br_balance_candidate c[2] = {{.id = {"a"}, .zone = "z1"},
+					    {.id = {"b"}, .zone = "z2"}};
+	struct br_balance_want want = {
+		.zone = "z1", .class = 1, .objective_us = 200 * BR_US_PER_MS};
+	struct br_rng rng;
+	uint64_t now = BR_US_PER_S;
+
+	br_rng_seed(&rng, 1);
+	cr_assert_eq(br_balance_pick_fast(b, c, 2, &want, NULL, 0, &rng, now), 0);
+	for (int i = 0; i < 100; i++) {
+		for (int k = 0; k < 2; k++) {
+			cr_assert_eq(br_balance_note_start(b, &c[k].id, now), 0);
+			br_balance_note_time(b, &c[k].id, want.class, (k ? 40 : 160) * BR_US_PER_MS,
+					     now);
+			br_balance_note_end(b, &c[k].id, BR_BALANCE_OK, now);
+		}
+		now += 10 * BR_US_PER_MS;
+	}
+	for (int i = 0; i < 20; i++)
+		cr_assert_eq(br_balance_pick_fast(b, c, 2, &want, NULL, 0, &rng, now), 1);
+	/* Without samples the difference is forgotten, so that a target that recovers is found. */
+	now += 60 * BR_US_PER_S;
+	cr_assert_eq(br_balance_pick_fast(b, c, 2, &want, NULL, 0, &rng, now), 0);
+	br_balance_destroy(b);
+}
+
+/* A full target of the own zone must not keep requests that another zone could run. */
+Test(balance, fast_pick_leaves_a_full_local_target)
+{
+	struct br_balance *b = br_balance_create(0);
+	struct br_balance_candidate c[2] = {{.id = {"a"}, .zone = "z1"},
+					    {.id = {"b"}, .zone = "z2"}};
+	struct br_balance_want want = {
+		.zone = "z1", .class = 1, .objective_us = 200 * BR_US_PER_MS};
+	struct br_rng rng;
+
+	br_rng_seed(&rng, 1);
+	for (int k = 0; k < 2; k++) {
+		cr_assert_eq(br_balance_note_start(b, &c[k].id, BR_US_PER_S), 0);
+		br_balance_note_time(b, &c[k].id, want.class, 60 * BR_US_PER_MS, BR_US_PER_S);
+		br_balance_note_report(b, &c[k].id, k ? 1 : 20, 10, BR_US_PER_S);
+	}
+	cr_assert_eq(br_balance_pick_fast(b, c, 2, &want, NULL, 0, &rng, BR_US_PER_S), 1);
+	for (int k = 0; k < 2; k++)
+		br_balance_note_end(b, &c[k].id, BR_BALANCE_OK, BR_US_PER_S);
+	br_balance_destroy(b);
+}
--- /dev/null
+++ b/tests/unit/mesh_model.c
@@ -0,0 +1,206 @@
+#include "mesh/model.h"
+
+#include "briarreel/error.h"
+#include "mesh/peer_format.h"
+#include "platform/decode.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define SERVICE(name)                                                       \
+	"{\"entryKind\":\"services\",\"metadata\":{\"name\":\"" name "\"}," \
+	"\"specification\":{\"healthPath\":\"/h\",\"connectionLimit\":10}}"
+#define ROUTE(name, prefix, priority, more)                               \
+	"{\"entryKind\":\"routes\",\"metadata\":{\"name\":\"" name "\"}," \
+	"\"specification\":{\"host\":\"H.example\",\"prefix\":\"" prefix  \
+	"\",\"kind\":\"safe\",\"priority\":" priority "," more "}}"
+#define ACCOUNT(name, key, priority)                                          \
+	"{\"entryKind\":\"tenants\",\"metadata\":{\"name\":\"" name "\"},"    \
+	"\"specification\":{\"apiKeys\":[\"" key "\"],\"priority\":" priority \
+	",\"ratePerS\":5.5,\"burst\":7}}"
+#define CONFIG(version, entries) "{\"version\":\"" version "\",\"resources\":[" entries "]}"
+
+static struct mesh_config *decode(const char *text)
+{
+	struct br_error err = {0};
+
+	return platform_decode_config(text, strlen(text), &err);
+}
+
+Test(mesh_model, decodes_routes_before_their_services)
+{
+	struct mesh_config *c =
+		decode(CONFIG(
+			"0000000c", ROUTE("r", "/a/", "2",
+					  "\"weightedServices\":[{\"service\":\"s1\",\"weight\":90}"
+					  ","
+					  "{\"service\":\"s2\",\"weight\":10}],\"timeout\":\"1."
+					  "5s\"") "," SERVICE("s1") "," SERVICE("s2") "," ACCOUNT("acme",
+												  "k",
+												  "1")));
+
+	cr_assert(c);
+	cr_assert_eq(c->version, 12);
+	cr_assert_eq(c->routes[0].n_parts, 2);
+	cr_assert_eq(c->routes[0].parts[1].weight, 10);
+	cr_assert_eq(c->routes[0].timeout_ms, 1500);
+	cr_assert_eq(mesh_config_account(c, "k"), 0);
+	cr_assert_eq(mesh_config_account(c, "kk"), -1);
+	cr_assert_float_eq(c->accounts[0].rate_per_s, 5.5, 0.01);
+	mesh_config_unref(c);
+}
+
+/* Guards against a configuration that is taken although a part of it cannot be used. */
+Test(mesh_model, refuses_what_is_not_complete)
+{
+	static const char *const bad[] = {
+		"",
+		"[]",
+		"{\"version\":\"00000001\"}",
+		"{\"version\":\"xyz\",\"resources\":[]}",
+		CONFIG("00000001", ROUTE("r", "/a/", "1", "\"service\":\"unknown\"")),
+		CONFIG("00000001", ROUTE("r", "/a/", "1", "\"timeout\":\"1s\"") "," SERVICE("s")),
+		"{\"version\":\"00000001\",\"resources\":[",
+	};
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		cr_assert_null(decode(bad[i]), "%s", bad[i]);
+}
+
+Test(mesh_model, longest_prefix_of_the_host_wins)
+{
+	struct mesh_config *c = decode(CONFIG(
+		"00000001", ROUTE("short", "/a/", "1", "\"service\":\"s\"") "," ROUTE(
+				    "long", "/a/b/", "1", "\"service\":\"s\"") "," SERVICE("s")));
+
+	cr_assert_str_eq(mesh_config_route(c, "h.EXAMPLE:80", "/a/b/c")->name, "long");
+	cr_assert_str_eq(mesh_config_route(c, "h.example", "/a/c")->name, "short");
+	cr_assert_null(mesh_config_route(c, "h.example", "/a"));
+	cr_assert_null(mesh_config_route(c, "other", "/a/c"));
+	mesh_config_unref(c);
+}
+
+/* Guards against accounts of equal priority that hide the priorities of routes. */
+Test(mesh_model, ranks_by_account_then_by_route)
+{
+	struct mesh_config *c = decode(CONFIG(
+		"00000001",
+		ROUTE("low", "/l/", "2", "\"service\":\"s\"") "," ROUTE(
+			"high", "/h/", "0",
+			"\"service\":\"s\"") "," SERVICE("s") "," ACCOUNT("a", "ka",
+									  "1") "," ACCOUNT("b",
+											   "kb",
+											   "0")));
+	const struct mesh_route *low = &c->routes[0], *high = &c->routes[1];
+	const struct mesh_account *a = &c->accounts[0], *b = &c->accounts[1];
+
+	cr_assert_lt(mesh_config_rank(c, high, a), mesh_config_rank(c, low, a));
+	cr_assert_lt(mesh_config_rank(c, low, b), mesh_config_rank(c, high, a));
+	cr_assert_lt(mesh_config_rank(c, low, a), MESH_RANKS);
+	mesh_config_unref(c);
+}
+
+Test(mesh_model, reads_reports_and_refuses_others)
+{
+	static const char good[] =
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":4,"
+		"\"state\":\"ready\",\"coldRemaining\":\"1.5s\",\"sequence\":3,\"born\":99,\"new\":"
+		"1}";
+	static const char *const bad[] = {
+		"{}",
+		"nonsense",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":4,\"state\":\"other\","
+		"\"sequence\":3}",
+		"{\"service\":7,\"address\":\"10.0.0.1:80\",\"slots\":4,\"state\":\"ready\","
+		"\"sequence\":3}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1\",\"slots\":4,\"state\":\"ready\","
+		"\"sequence\":3}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":\"4\",\"state\":"
+		"\"ready\","
+		"\"sequence\":3}",
+	};
+	struct target_report r = {0};
+	struct br_error err = {0};
+
+	cr_assert_eq(platform_decode_report(good, strlen(good), &r, &err), 0);
+	cr_assert_eq(r.cold_ms, 1500);
+	cr_assert_eq(r.born_ms, 99);
+	cr_assert_eq(r.state, TARGET_READY);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		cr_assert_lt(platform_decode_report(bad[i], strlen(bad[i]), &r, &err), 0, "%s",
+			     bad[i]);
+}
+
+#define SETTINGS                                                                     \
+	"nodeName=n\nzone=z\nservice=s\nlistenAddresses.outbound=10.0.0.1:1\n"       \
+	"listenAddresses.inbound=10.0.0.1:2\nlistenAddresses.ready=10.0.0.1:3\n"     \
+	"listenAddresses.control=10.0.0.1:4\napplicationAddress=10.0.0.1:5\n"        \
+	"platform.address=10.0.0.2:6\nplatform.ttlMin=1000ms\nlimits.memoryMb=260\n" \
+	"internalPorts=7000,7015\nfuture=1\n"
+#define BOUNDS                                                                 \
+	"bounds=drain=2s,grace=6s,configPropagation=2000ms,revocation=5000ms," \
+	"budgetRatio=0.2,budgetWindow=10s,budgetSlack=48,strictRevocation=true\n"
+
+Test(mesh_model, reads_settings_and_names_what_is_wrong)
+{
+	struct mesh_settings s;
+	struct br_error err = {0};
+
+	cr_assert_eq(platform_parse_settings("f", SETTINGS BOUNDS, &s, &err), 0, "%s", err.detail);
+	cr_assert_eq(s.mesh_port, 7000);
+	cr_assert_eq(s.drain_ms, 2000);
+	cr_assert_eq(s.memory_bytes, 260ULL * 1024 * 1024);
+	cr_assert_lt(platform_parse_settings("f", SETTINGS, &s, &err), 0);
+	cr_assert(strstr(err.detail, "f: ") && strstr(err.detail, "missing"));
+	cr_assert_lt(platform_parse_settings("f", SETTINGS BOUNDS "zone=\n", &s, &err), 0);
+	cr_assert_str_eq(err.detail, "f: zone: \"\" is not valid");
+	cr_assert_lt(platform_parse_settings("f", SETTINGS BOUNDS "internalPorts=9,1\n", &s, &err),
+		     0);
+}
+
+/* What one node writes another one reads, also with empty texts. */
+Test(mesh_model, jobs_and_ends_round_trip)
+{
+	struct job job = {.id = "i",
+			  .target = "t",
+			  .account = "",
+			  .caller_service = "svc",
+			  .account_hash = UINT64_MAX,
+			  .route_hash = 5,
+			  .deadline_us = 1500 * BR_US_PER_MS,
+			  .queue_until_us = 200 * BR_US_PER_MS,
+			  .rank = 3,
+			  .is_call = true};
+	struct peer_end end = {.result = JOB_NOT_RUN,
+			       .reason = JOB_REASON_SHED,
+			       .reached = true,
+			       .in_flight = 3,
+			       .queued = 4,
+			       .limit = 5,
+			       .version = 6,
+			       .confirmed_ms = 7};
+	struct peer_end end_back;
+	struct peer_job back;
+	struct buf b = {0};
+
+	peer_write_job(&b, &job, 9, 500 * BR_US_PER_MS);
+	cr_assert_eq(peer_read_job(buf_cstr(&b) + strlen(PEER_JOB_FIELD ": "), &back), 0);
+	cr_assert_eq(back.left_ms, 1000);
+	cr_assert_eq(back.queue_ms, 0);
+	cr_assert_eq(back.rank, 3);
+	cr_assert(back.is_call);
+	cr_assert_not(back.idempotent);
+	cr_assert_str_eq(back.account, "");
+	cr_assert_str_eq(back.target, "t");
+	cr_assert_eq(back.account_hash, UINT64_MAX);
+	buf_free(&b);
+	peer_write_end(&b, &end);
+	cr_assert_eq(peer_read_end(buf_cstr(&b) + strlen(PEER_END_FIELD ": "), &end_back), 0);
+	cr_assert_eq(end_back.reason, JOB_REASON_SHED);
+	cr_assert_eq(end_back.limit, 5);
+	cr_assert_eq(end_back.confirmed_ms, 7);
+	cr_assert(end_back.reached);
+	cr_assert_lt(peer_read_end("9 none 0 0 0 0 0 0 0", &end_back), 0);
+	cr_assert_lt(peer_read_job("1 2 3", &back), 0);
+	buf_free(&b);
+}
