--- a/lib/balance.c
+++ b/lib/balance.c
@@ -343,8 +343,8 @@
 			 uint64_t now_us)
 {
 	struct view views[CANDIDATES_MAX];
-	size_t kept = usable_views(b, candidates, n, want->zone, exclude, n_exclude, rng, now_us,
-				   views);
+	size_t kept =
+		usable_views(b, candidates, n, want->zone, exclude, n_exclude, rng, now_us, views);
 	const struct view *chosen;
 
 	if (!kept)
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -46,7 +46,7 @@
 	struct service_server *service;
 	uv_signal_t term, hup;
 	uint64_t stop_us;
-	bool leaving;
+	bool leaving, left;
 };
 
 static void on_target_changed(void *ctx)
@@ -75,10 +75,15 @@
 	store_sweep(n->board.store);
 }
 
-static void end_process(void *ctx)
+static void on_left(void *ctx)
 {
 	struct node *n = ctx;
 
+	n->left = true;
+}
+
+static void end_process(struct node *n)
+{
 	EVENT(EVENT_INFO, "node", "stopped",
 	      EVENT_NUMBER("after_ms", (clock_now_us() - n->stop_us) / BR_US_PER_MS),
 	      EVENT_NUMBER("unfinished", request_active() + peer_server_active(n->peers)));
@@ -97,8 +102,11 @@
 		end_process(n);
 	if (quiet && ms >= STOP_NOTICED_MS && !n->leaving) {
 		n->leaving = true;
-		presence_leave(n->presence, end_process, n);
+		presence_leave(n->presence, on_left, n);
 	}
+	/* Callers may have sent requests while the store was told. */
+	if (quiet && n->left)
+		end_process(n);
 }
 
 static void on_term(uv_signal_t *handle, int signum)
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -78,8 +78,8 @@
 	if (fate == HTTP_CALL_NOT_SENT) {
 		br_balance_note_failure(run->board->balance, &run->id, now_us);
 		finish(job, BR_BALANCE_CANCELLED);
-		end_job(job, (struct job_end){.result = JOB_NOT_RUN,
-					      .reason = JOB_REASON_UNREACHABLE});
+		end_job(job,
+			(struct job_end){.result = JOB_NOT_RUN, .reason = JOB_REASON_UNREACHABLE});
 		return;
 	}
 	if (!text || peer_read_end(text, &end)) {
--- a/mesh/peer_format.c
+++ b/mesh/peer_format.c
@@ -58,8 +58,8 @@
 void peer_write_end(struct buf *b, const struct peer_end *end)
 {
 	buf_printf(b, PEER_END_FIELD ": %d %s %d %d %u %u %u %" PRIu64 " %" PRIu64 "\r\n",
-		   (int)end->result, job_reason_text(end->reason), end->reached, end->call_failed, end->in_flight,
-		   end->queued, end->limit, end->version, end->confirmed_ms);
+		   (int)end->result, job_reason_text(end->reason), end->reached, end->call_failed,
+		   end->in_flight, end->queued, end->limit, end->version, end->confirmed_ms);
 }
 
 int peer_read_end(const char *text, struct peer_end *out)
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -25,7 +25,10 @@
 #define ANSWER_MARGIN_MS 60
 /* Targets that are asked, at most, while each says that it has not run the request. */
 #define REFUSALS_MAX 3
-/* Part of the objective for which a request may wait in queues. */
+/*
+ * Part of the objective for which a new request may wait in queues. A target's call may wait for
+ * the whole objective: if it is refused, what was done for the request behind it is lost.
+ */
 #define QUEUE_PART 4
 #define QUEUE_MIN_MS 10
 /* A refused caller comes back after this part of its time, spread so that not all come at once. */
@@ -259,7 +262,8 @@
 	switch (end->result) {
 	case JOB_ANSWERED:
 		note_time(r, answer);
-		if (answer->status >= 500 && answer->status != 504 && !end->call_failed && may_repeat(r)) {
+		if (answer->status >= 500 && answer->status != 504 && !end->call_failed &&
+		    may_repeat(r)) {
 			http_msg_destroy(r->failure);
 			r->failure = answer;
 			try_next(r);
@@ -319,11 +323,11 @@
 			continue;
 		if (m->self)
 			report_own_load(b, m);
-		candidates[n_candidates] = (struct br_balance_candidate){
-			.id = m->id,
-			.zone = m->zone,
-			.joined_us = m->joined_us,
-			.cold = now_us < m->target.cold_until_us};
+		candidates[n_candidates] =
+			(struct br_balance_candidate){.id = m->id,
+						      .zone = m->zone,
+						      .joined_us = m->joined_us,
+						      .cold = now_us < m->target.cold_until_us};
 		index[n_candidates++] = i;
 	}
 	at = n_candidates ? br_balance_pick_fast(b->balance, candidates, n_candidates, &want,
@@ -393,22 +397,10 @@
 	return route->parts[0].service;
 }
 
-/* A call of the target of this VM counts as part of the request for which it is made. */
-static void set_rank(struct request *r)
-{
-	const struct job *caller = target_caller_of(r->board->target, r->id);
-
-	r->route_hash = br_hash_str(r->route->name, 0);
-	r->is_call = caller != NULL;
-	r->rank = caller ? caller->rank : mesh_config_rank(r->config, r->route, r->account);
-	r->account_hash = r->account ? r->account->name_hash : caller ? caller->account_hash : 0;
-}
-
 static void dispatch(struct request *r)
 {
 	struct br_retry_budget_cfg cfg = budget_cfg(r->board);
 
-	set_rank(r);
 	r->service = choose_service(r->route, &r->board->rng);
 	br_retry_budget_request(budget_of(r), &cfg, n_nodes(r->board), clock_now_us());
 	try_next(r);
@@ -478,8 +470,9 @@
 	end_ms = left_ms;
 	if (r->route->timeout_ms && r->route->timeout_ms < end_ms)
 		end_ms = r->route->timeout_ms;
-	queue_ms =
-		r->route->objective_ms ? r->route->objective_ms / QUEUE_PART : end_ms / QUEUE_PART;
+	queue_ms = r->route->objective_ms ? r->route->objective_ms : end_ms;
+	if (!r->is_call)
+		queue_ms /= QUEUE_PART;
 	if (queue_ms < QUEUE_MIN_MS)
 		queue_ms = QUEUE_MIN_MS;
 	if (queue_ms > end_ms / 2)
@@ -491,6 +484,27 @@
 	r->timer = timer_start(r->board->loop, end_ms + ANSWER_MARGIN_MS, on_timeout, r);
 }
 
+/* A call of the target of this VM counts as part of the request for which it is made. */
+static void set_caller(struct request *r)
+{
+	const struct job *caller = target_caller_of(r->board->target, r->id);
+
+	r->route_hash = br_hash_str(r->route->name, 0);
+	r->is_call = caller != NULL;
+	if (!caller)
+		return;
+	r->rank = caller->rank;
+	r->account_hash = caller->account_hash;
+}
+
+static void set_rank(struct request *r)
+{
+	if (!r->is_call)
+		r->rank = mesh_config_rank(r->config, r->route, r->account);
+	if (r->account)
+		r->account_hash = r->account->name_hash;
+}
+
 static void begin(struct request *r)
 {
 	const char *host = http_msg_find(r->msg, "host");
@@ -512,9 +526,12 @@
 		answer_own(r, 404, 0, "no route");
 		return;
 	}
+	set_caller(r);
 	set_times(r);
-	if (check_key(r))
-		take_quota(r);
+	if (!check_key(r))
+		return;
+	set_rank(r);
+	take_quota(r);
 }
 
 void request_start(struct board *board, struct http_msg *msg, request_done_cb done, void *ctx,
