--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -211,9 +211,10 @@
 	if (!s)
 		return;
 	uv_close((uv_handle_t *)&s->listener, NULL);
-	while (s->callers) {
-		http_conn_close(s->callers->conn);
-		free_caller(s->callers);
+	for (struct caller *next, *c = s->callers; c; c = next) {
+		next = c->next;
+		http_conn_close(c->conn);
+		free_caller(c);
 	}
 }
 
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -329,9 +329,10 @@
 	if (!s)
 		return;
 	uv_close((uv_handle_t *)&s->listener, NULL);
-	while (s->conns) {
-		http_conn_close(s->conns->conn);
-		free_conn(s->conns);
+	for (struct peer_conn *next, *c = s->conns; c; c = next) {
+		next = c->next;
+		http_conn_close(c->conn);
+		free_conn(c);
 	}
 }
 
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -223,8 +223,9 @@
 		return;
 	for (int i = 0; i < LISTENERS; i++)
 		uv_close((uv_handle_t *)&s->listeners[i], NULL);
-	while (s->conns) {
-		http_conn_close(s->conns->conn);
-		free_conn(s->conns);
+	for (struct service_conn *next, *c = s->conns; c; c = next) {
+		next = c->next;
+		http_conn_close(c->conn);
+		free_conn(c);
 	}
 }
--- a/net/http_pool.c
+++ b/net/http_pool.c
@@ -55,14 +55,19 @@
 	pc->pool->n_idle--;
 }
 
-void http_pool_drop_idle(struct http_pool *p)
+static struct pool_conn *pop_idle(struct http_pool *p)
 {
-	while (p->idle) {
-		struct pool_conn *pc = p->idle;
+	struct pool_conn *pc = p->idle;
 
-		unlink_idle(pc);
-		discard(pc);
-	}
+	p->idle = pc->next;
+	p->n_idle--;
+	return pc;
+}
+
+void http_pool_drop_idle(struct http_pool *p)
+{
+	while (p->idle)
+		discard(pop_idle(p));
 }
 
 void http_pool_destroy(struct http_pool *p)
@@ -134,14 +139,11 @@
 		struct pool_conn *pc = p->idle;
 		uint64_t idle_us = now_us - pc->idle_since_us;
 
-		if (idle_us < pc->idle_limit_us && (!limit_us || idle_us < limit_us)) {
-			unlink_idle(pc);
-			return pc;
-		}
+		if (idle_us < pc->idle_limit_us && (!limit_us || idle_us < limit_us))
+			return pop_idle(p);
 		if (idle_us < pc->idle_limit_us)
 			return NULL;
-		unlink_idle(pc);
-		discard(pc);
+		discard(pop_idle(p));
 	}
 	return NULL;
 }
--- a/tests/unit/mesh_model.c
+++ b/tests/unit/mesh_model.c
@@ -29,15 +29,13 @@
 
 Test(mesh_model, decodes_routes_before_their_services)
 {
-	struct mesh_config *c =
-		decode(CONFIG(
-			"0000000c", ROUTE("r", "/a/", "2",
-					  "\"weightedServices\":[{\"service\":\"s1\",\"weight\":90}"
-					  ","
-					  "{\"service\":\"s2\",\"weight\":10}],\"timeout\":\"1."
-					  "5s\"") "," SERVICE("s1") "," SERVICE("s2") "," ACCOUNT("acme",
-												  "k",
-												  "1")));
+	struct mesh_config *c = decode(CONFIG(
+		"0000000c",
+		ROUTE("r", "/a/", "2",
+		      "\"weightedServices\":[{\"service\":\"s1\",\"weight\":90}"
+		      ","
+		      "{\"service\":\"s2\",\"weight\":10}],\"timeout\":\"1."
+		      "5s\"") "," SERVICE("s1") "," SERVICE("s2") "," ACCOUNT("acme", "k", "1")));
 
 	cr_assert(c);
 	cr_assert_eq(c->version, 12);
