Let renewals of the lease alone look for a store that is away

Watches and reads no longer go on while the lease cannot be renewed, and keep their revision over failures that are no compaction.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -54,6 +54,11 @@
 	struct br_balance *balance;
 	struct target *target;
 	struct quota *quota;
+	/**
+	 * The last renewal of the lease failed, or none was tried yet. Renewals are the cheapest calls,
+	 * so that they alone look for a store that is away.
+	 */
+	bool store_away;
 	/** This node is the keeper. */
 	bool is_keeper;
 	/** The keeper's answers show until then what the store holds. */
--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -180,12 +180,12 @@
 	struct config_watch *w = arg;
 
 	w->calling = false;
-	if (r->result != STORE_OK) {
+	if (r->result == STORE_COMPACTED)
 		w->revision = 0;
-		if (r->result != STORE_COMPACTED)
-			note_lost(w, r);
+	else if (r->result != STORE_OK)
+		note_lost(w, r);
+	if (r->result != STORE_OK)
 		return;
-	}
 	note_back(w);
 	take_items(w, r);
 	confirm_no_news(w, w->sent_us);
@@ -235,6 +235,8 @@
 {
 	struct config_watch *w = arg;
 
+	if (w->board->store_away)
+		return;
 	if (w->board->config)
 		probe(w);
 	if (w->calling || w->pause || board_follows_keeper(w->board, clock_now_us()))
--- a/mesh/presence.c
+++ b/mesh/presence.c
@@ -14,6 +14,7 @@
 #define LEASE_MS 3000
 /* Two renewals may fail before a lease ends. */
 #define KEEP_MS 1000
+#define KEEP_TIMEOUT_MS 600
 #define RETRY_MS 400
 /* The first entry waits this long for the first report of the target, which saves a write. */
 #define FIRST_REPORT_MS 2500
@@ -31,6 +32,7 @@
 
 static void note_store(struct presence *p, bool reached, uint16_t status)
 {
+	p->board->store_away = !reached;
 	if (reached == !p->lost)
 		return;
 	p->lost = !reached;
@@ -106,7 +108,7 @@
 	}
 	p->leasing = true;
 	p->sent_us = clock_now_us();
-	store_keep(p->board->store, p->lease, CALL_TIMEOUT_MS, on_keep, p);
+	store_keep(p->board->store, p->lease, KEEP_TIMEOUT_MS, on_keep, p);
 }
 
 static void on_put_timer(void *arg)
--- a/mesh/view_watch.c
+++ b/mesh/view_watch.c
@@ -94,12 +94,12 @@
 	struct view_watch *w = arg;
 
 	w->calling = false;
-	if (r->result != STORE_OK) {
+	if (r->result == STORE_COMPACTED)
 		w->revision = 0;
-		if (r->result != STORE_COMPACTED)
-			pause_calls(w, RETRY_MS);
+	else if (r->result != STORE_OK)
+		pause_calls(w, RETRY_MS);
+	if (r->result != STORE_OK)
 		return;
-	}
 	for (size_t i = 0; i < r->n_items; i++)
 		take_item(w, &r->items[i]);
 	if (r->n_items) {
@@ -156,7 +156,8 @@
 {
 	struct view_watch *w = arg;
 
-	if (w->calling || w->pause || board_follows_keeper(w->board, clock_now_us()))
+	if (w->calling || w->pause || w->board->store_away ||
+	    board_follows_keeper(w->board, clock_now_us()))
 		return;
 	w->calling = true;
 	if (!w->revision) {
