--- a/mesh/job.c
+++ b/mesh/job.c
@@ -11,7 +11,7 @@
 	[JOB_REASON_DRAINING] = "draining", [JOB_REASON_OVERLOAD] = "overload",
 	[JOB_REASON_SHED] = "shed",	    [JOB_REASON_UNREACHABLE] = "unreachable",
 	[JOB_REASON_BROKEN] = "broken",	    [JOB_REASON_UNSEALED] = "unsealed",
-	[JOB_REASON_TIMEOUT] = "timeout",   [JOB_REASON_STOPPING] = "stopping",
+	[JOB_REASON_TIMEOUT] = "timeout",
 };
 
 void job_cancel(struct job *job)
--- a/mesh/job.h
+++ b/mesh/job.h
@@ -36,7 +36,6 @@
 	/** An answer without the proof that the target computed it. */
 	JOB_REASON_UNSEALED,
 	JOB_REASON_TIMEOUT,
-	JOB_REASON_STOPPING,
 	JOB_REASONS,
 };
 
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -139,7 +139,6 @@
 	n->settings.revocation_ms = read.revocation_ms;
 	n->settings.drain_ms = read.drain_ms;
 	n->settings.grace_ms = read.grace_ms;
-	n->settings.propagation_ms = read.propagation_ms;
 	n->settings.budget_ratio = read.budget_ratio;
 	n->settings.budget_window_ms = read.budget_window_ms;
 	n->settings.budget_extra = read.budget_extra;
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -35,7 +35,6 @@
 	struct http_pool *pool;
 	struct job *running;
 	struct timer *ticker;
-	uint64_t opened_before;
 };
 
 static void start_next(struct target *t);
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -336,11 +336,6 @@
 	return c->owner;
 }
 
-void http_conn_set_owner(struct http_conn *c, void *owner)
-{
-	c->owner = owner;
-}
-
 static void on_written(uv_write_t *req, int status)
 {
 	struct write_op *w = req->data;
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -44,7 +44,6 @@
 				    const struct http_limits *limits, void *owner);
 
 void *http_conn_owner(const struct http_conn *c);
-void http_conn_set_owner(struct http_conn *c, void *owner);
 
 /** Queues bytes; takes them over and leaves an empty buffer. */
 void http_conn_send(struct http_conn *c, struct buf *bytes);
