Refuse new requests late in a stop

Callers use open connections until the process is gone. Change: once callers have had time to notice the stop, new requests are answered 503 at once, which is true; calls of running jobs go on.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -68,6 +68,8 @@
 	uint32_t view_changes;
 	/** SIGTERM was received. */
 	bool stopping;
+	/** New requests are refused: callers have had time to notice the stop. */
+	bool refusing;
 	uint64_t counters[COUNTERS];
 };
 
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -100,6 +100,9 @@
 
 	if (ms + STOP_MARGIN_MS >= n->settings.grace_ms)
 		end_process(n);
+	/* What is taken later might not end in time; calls of the target's running jobs go on. */
+	if (ms >= STOP_NOTICED_MS)
+		n->board.refusing = true;
 	if (quiet && ms >= STOP_NOTICED_MS && !n->leaving) {
 		n->leaving = true;
 		presence_leave(n->presence, on_left, n);
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -527,6 +527,10 @@
 		return;
 	}
 	set_caller(r);
+	if (r->board->refusing && !r->is_call) {
+		refuse(r, "the node is stopping");
+		return;
+	}
 	set_times(r);
 	if (!check_key(r))
 		return;
