--- a/tests/scripts/process.c
+++ b/tests/scripts/process.c
@@ -147,12 +147,17 @@
 bool process_signal(struct script *s, const char *name, int sig)
 {
 	struct script_proc *p;
+	siginfo_t info;
 	bool good = false;
 
 	pthread_mutex_lock(&s->lock);
 	p = find_proc(s, name);
 	if (p && !reap(p)) {
 		good = kill(p->pid, sig) == 0;
+		/* kill() returns before the threads have stopped; they could still answer. */
+		if (good && sig == SIGSTOP)
+			good = waitid(P_PID, (id_t)p->pid, &info, WSTOPPED | WEXITED | WNOWAIT) ==
+			       0;
 		if (sig == SIGKILL)
 			p->killed = true;
 	}
