Stop following a keeper that cannot be fetched from; end long pipelines

Cause 1, found by reading: a node followed the keeper while its datagrams arrived, even if every fetch over a connection failed. It would then have kept an old configuration for good, since it asks the store only while it does not follow. Change: after 600 ms without what the keeper has it asks the store. unit/mesh_keeper: still followed after 2.5 s before, not now. Cause 2, found by reading: beyond 128 unanswered requests a connection ignored further ones, which got neither an answer nor the connection's end. Change: the connection ends with its last answer. unit/mesh_caller: 400 requests, 128 answers and still open after 4 s before; closed now. Cause 3, found by linking both into one test: net/ had a second struct http_pool beside common/'s. Change: it is conn_pool.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -8,7 +8,7 @@
 
 #include "briarreel/balance.h"
 #include "mesh/model.h"
-#include "net/http_pool.h"
+#include "net/conn_pool.h"
 
 struct store;
 struct members;
--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -11,7 +11,7 @@
 #define BODY_BYTES (64ULL * 1024 * 1024)
 #define HEADER_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 15000
-/* Requests on one connection that are not answered yet; more close it. */
+/* Requests on one connection that are not answered yet; the last of them ends it if more come. */
 #define PIPELINE_MAX 128
 /* A caller that does not read its answers is cut off beyond this. */
 #define UNSENT_MAX (16UL * 1024 * 1024)
@@ -135,7 +135,12 @@
 	struct caller *c = http_conn_owner(conn);
 	struct turn *t;
 
-	if (c->ending || c->n_turns >= PIPELINE_MAX) {
+	if (!c->ending && c->n_turns >= PIPELINE_MAX) {
+		/* What is sent behind the last answer of a connection counts as not read. */
+		c->tail->last = true;
+		c->ending = true;
+	}
+	if (c->ending) {
 		http_msg_destroy(m);
 		return;
 	}
--- a/mesh/job.h
+++ b/mesh/job.h
@@ -8,7 +8,7 @@
 
 #include "briarreel/admission.h"
 #include "mesh/model.h"
-#include "net/http_pool.h"
+#include "net/conn_pool.h"
 
 enum job_result {
 	/** The target ran the request and its whole answer is here. */
--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -18,6 +18,8 @@
 #define ANSWER_BODY_BYTES (4ULL * 1024 * 1024)
 /* A node follows the keeper this long after its last answer. */
 #define FOLLOW_US (1000 * BR_US_PER_MS)
+/* Longest time for which a node follows a keeper without having what the keeper has. */
+#define OUT_OF_STEP_US (600 * BR_US_PER_MS)
 /* A keeper whose own confirmation is older may have lost the store. */
 #define CONFIRMED_MAX_MS 2400
 
@@ -25,7 +27,7 @@
 	struct board *board;
 	struct config_watch *config;
 	struct view_watch *view;
-	struct http_pool *pool;
+	struct conn_pool *pool;
 	struct sockaddr_in addr;
 	struct http_call call;
 	/** What the call under way fetches. */
@@ -34,6 +36,8 @@
 	/** View that this node has taken. */
 	uint32_t incarnation, view_changes;
 	uint32_t own_incarnation;
+	/** Since when this node lacks something that the keeper has; 0 if it lacks nothing. */
+	uint64_t lacks_since_us;
 };
 
 struct keeper_link *keeper_link_create(struct board *board)
@@ -52,7 +56,7 @@
 		return;
 	if (http_call_active(&l->call))
 		http_call_cancel(&l->call);
-	http_pool_destroy(l->pool);
+	conn_pool_destroy(l->pool);
 	free(l);
 }
 
@@ -70,7 +74,7 @@
 
 static void set_addr(struct keeper_link *l, const struct sockaddr_in *addr)
 {
-	struct http_pool_cfg cfg = {
+	struct conn_pool_cfg cfg = {
 		.addr = *addr,
 		.limits = {.header_bytes = ANSWER_HEADER_BYTES, .body_bytes = ANSWER_BODY_BYTES},
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
@@ -82,8 +86,8 @@
 		return;
 	if (http_call_active(&l->call))
 		http_call_cancel(&l->call);
-	http_pool_destroy(l->pool);
-	l->pool = http_pool_create(l->board->loop, &cfg);
+	conn_pool_destroy(l->pool);
+	l->pool = conn_pool_create(l->board->loop, &cfg);
 	l->addr = *addr;
 }
 
@@ -129,22 +133,31 @@
 			   l->incarnation == news->incarnation ? l->view_changes : 0);
 	else
 		buf_text(&b, "config\r\n\r\n");
-	http_pool_send(l->pool, &l->call, &b);
+	conn_pool_send(l->pool, &l->call, &b);
 }
 
 void keeper_link_news(struct keeper_link *l, const struct keeper_news *news)
 {
 	uint64_t version = l->board->config ? l->board->config->version : 0;
+	uint64_t now_us = clock_now_us();
 	bool view_differs =
 		l->incarnation != news->incarnation || l->view_changes != news->view_changes;
 
 	if (!l->config || news->confirmed_ms > CONFIRMED_MAX_MS)
 		return;
 	set_addr(l, &news->addr);
-	if (!http_call_active(&l->call) && (news->version > version || view_differs))
-		fetch(l, news, news->version <= version);
-	/* A fetch that fails ends in time to ask the store before the bounds. */
-	l->board->follow_until_us = clock_now_us() + FOLLOW_US;
+	if (news->version <= version && !view_differs) {
+		l->lacks_since_us = 0;
+	} else {
+		if (!l->lacks_since_us)
+			l->lacks_since_us = now_us;
+		if (!http_call_active(&l->call))
+			fetch(l, news, news->version <= version);
+		/* Datagrams may arrive where connections do not: the store is asked then. */
+		if (now_us - l->lacks_since_us >= OUT_OF_STEP_US)
+			return;
+	}
+	l->board->follow_until_us = now_us + FOLLOW_US;
 }
 
 void keeper_link_serve(struct board *board, const char *fetch, struct buf *out)
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -40,7 +40,7 @@
 static void free_slot(struct members *ms, struct slot *s)
 {
 	br_balance_forget(ms->board->balance, &s->member.id);
-	http_pool_destroy(s->member.pool);
+	conn_pool_destroy(s->member.pool);
 	free(s);
 }
 
@@ -156,9 +156,9 @@
 	return NULL;
 }
 
-static struct http_pool *create_pool(struct members *ms, const struct sockaddr_in *addr)
+static struct conn_pool *create_pool(struct members *ms, const struct sockaddr_in *addr)
 {
-	struct http_pool_cfg cfg = {
+	struct conn_pool_cfg cfg = {
 		.addr = *addr,
 		.limits = {.header_bytes = ANSWER_HEADER_BYTES, .body_bytes = ANSWER_BODY_BYTES},
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
@@ -166,7 +166,7 @@
 		.idle_max = IDLE_MAX,
 	};
 
-	return http_pool_create(ms->board->loop, &cfg);
+	return conn_pool_create(ms->board->loop, &cfg);
 }
 
 static struct slot *add(struct members *ms, const char *node, const struct member *m)
@@ -243,7 +243,7 @@
 static bool kept(const struct member *m, uint64_t now_us)
 {
 	return !m->missing_us || now_us - m->missing_us < MISSING_KEPT_US ||
-	       now_us - m->answered_us < MISSING_KEPT_US || http_pool_open(m->pool) > 0;
+	       now_us - m->answered_us < MISSING_KEPT_US || conn_pool_open(m->pool) > 0;
 }
 
 void members_sweep(struct members *ms)
@@ -254,7 +254,7 @@
 	for (size_t i = 0; i < ms->n; i++) {
 		struct slot *s = ms->slots[i];
 
-		http_pool_sweep(s->member.pool);
+		conn_pool_sweep(s->member.pool);
 		if (kept(&s->member, now_us)) {
 			ms->slots[out++] = s;
 			continue;
--- a/mesh/members.h
+++ b/mesh/members.h
@@ -21,7 +21,7 @@
 	struct sockaddr_in addr;
 	struct target_status target;
 	/** Connections to the member's peer port. */
-	struct http_pool *pool;
+	struct conn_pool *pool;
 	uint64_t joined_us;
 	/** Time at which its entry disappeared, or 0. */
 	uint64_t missing_us;
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -135,7 +135,8 @@
 	run->id = m->id;
 	run->sent_us = now_us;
 	br_copy_text(run->node, sizeof(run->node), m->node);
-	BR_INVARIANT(!br_balance_note_start(board->balance, &m->id, now_us));
+	if (br_balance_note_start(board->balance, &m->id, now_us))
+		abort();
 	job->runner = run;
 	job->cancel = cancel;
 	job->call = (struct http_call){
@@ -147,7 +148,7 @@
 	peer_write_job(&b, job, version_of(board), now_us);
 	buf_text(&b, "\r\n");
 	buf_append(&b, job->msg->body.data, job->msg->body.len);
-	http_pool_send(m->pool, &job->call, &b);
+	conn_pool_send(m->pool, &job->call, &b);
 }
 
 /* The receiving end. */
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -32,7 +32,7 @@
 	struct target_status status;
 	uint64_t born_ms, sequence, leaving_until_us;
 	struct br_admission *queue;
-	struct http_pool *pool;
+	struct conn_pool *pool;
 	struct job *running;
 	struct timer *ticker;
 };
@@ -83,9 +83,9 @@
 		timer_cancel(&t->ticker);
 }
 
-static struct http_pool *create_pool(struct target *t)
+static struct conn_pool *create_pool(struct target *t)
 {
-	struct http_pool_cfg cfg = {
+	struct conn_pool_cfg cfg = {
 		.addr = t->board->settings->target_addr,
 		.limits = {.header_bytes = ANSWER_HEADER_BYTES, .body_bytes = ANSWER_BODY_BYTES},
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
@@ -93,7 +93,7 @@
 		.idle_max = QUEUE_MAX,
 	};
 
-	return http_pool_create(t->board->loop, &cfg);
+	return conn_pool_create(t->board->loop, &cfg);
 }
 
 struct target *target_create(struct board *board, void (*changed)(void *ctx), void *ctx)
@@ -118,7 +118,7 @@
 	timer_cancel(&t->ticker);
 	br_admission_drop_all(t->queue);
 	br_admission_destroy(t->queue);
-	http_pool_destroy(t->pool);
+	conn_pool_destroy(t->pool);
 	free(t);
 }
 
@@ -147,7 +147,7 @@
 /* A report of an incarnation that this node has not seen before. */
 static void adopt(struct target *t, const struct target_report *r)
 {
-	http_pool_drop_idle(t->pool);
+	conn_pool_drop_idle(t->pool);
 	br_copy_text(t->status.id, sizeof(t->status.id), r->id);
 	br_copy_text(t->status.service, sizeof(t->status.service), r->service);
 	t->status.slots = r->slots;
@@ -324,7 +324,7 @@
 			   job->account);
 	buf_text(&b, "\r\n");
 	buf_append(&b, job->msg->body.data, job->msg->body.len);
-	http_pool_send(t->pool, &job->call, &b);
+	conn_pool_send(t->pool, &job->call, &b);
 }
 
 static void start_next(struct target *t)
@@ -392,12 +392,12 @@
 
 void target_tick(struct target *t)
 {
-	http_pool_sweep(t->pool);
+	conn_pool_sweep(t->pool);
 	if (t->status.phase == TARGET_LEAVING && clock_now_us() >= t->leaving_until_us)
 		set_phase(t, TARGET_GONE, "drain time over");
 }
 
 uint64_t target_connections_opened(const struct target *t)
 {
-	return http_pool_opened(t->pool);
+	return conn_pool_opened(t->pool);
 }
--- a/net/http_pool.c
+++ b/net/conn_pool.c
@@ -1,4 +1,4 @@
-#include "net/http_pool.h"
+#include "net/conn_pool.h"
 
 #include "common/clock.h"
 
@@ -11,16 +11,16 @@
 
 /** A connection of the pool: busy with a call, or in the idle list. */
 struct pool_conn {
-	struct http_pool *pool;
+	struct conn_pool *pool;
 	struct http_conn *conn;
 	struct http_call *call;
 	uint64_t idle_since_us, idle_limit_us;
 	struct pool_conn *next;
 };
 
-struct http_pool {
+struct conn_pool {
 	uv_loop_t *loop;
-	struct http_pool_cfg cfg;
+	struct conn_pool_cfg cfg;
 	/** Most recently used first. */
 	struct pool_conn *idle;
 	uint32_t n_idle, n_open;
@@ -29,9 +29,9 @@
 
 static const struct http_conn_ops conn_ops;
 
-struct http_pool *http_pool_create(uv_loop_t *loop, const struct http_pool_cfg *cfg)
+struct conn_pool *conn_pool_create(uv_loop_t *loop, const struct conn_pool_cfg *cfg)
 {
-	struct http_pool *p = xcalloc(1, sizeof(*p));
+	struct conn_pool *p = xcalloc(1, sizeof(*p));
 
 	p->loop = loop;
 	p->cfg = *cfg;
@@ -55,7 +55,7 @@
 	pc->pool->n_idle--;
 }
 
-static struct pool_conn *pop_idle(struct http_pool *p)
+static struct pool_conn *pop_idle(struct conn_pool *p)
 {
 	struct pool_conn *pc = p->idle;
 
@@ -64,21 +64,21 @@
 	return pc;
 }
 
-void http_pool_drop_idle(struct http_pool *p)
+void conn_pool_drop_idle(struct conn_pool *p)
 {
 	while (p->idle)
 		discard(pop_idle(p));
 }
 
-void http_pool_destroy(struct http_pool *p)
+void conn_pool_destroy(struct conn_pool *p)
 {
 	if (!p)
 		return;
-	http_pool_drop_idle(p);
+	conn_pool_drop_idle(p);
 	free(p);
 }
 
-void http_pool_sweep(struct http_pool *p)
+void conn_pool_sweep(struct conn_pool *p)
 {
 	struct pool_conn **link = &p->idle;
 	uint64_t now_us = clock_now_us();
@@ -131,7 +131,7 @@
 	http_conn_send(call->conn, &call->bytes);
 }
 
-static struct pool_conn *take_idle(struct http_pool *p, uint64_t max_idle_ms)
+static struct pool_conn *take_idle(struct conn_pool *p, uint64_t max_idle_ms)
 {
 	uint64_t now_us = clock_now_us(), limit_us = max_idle_ms * 1000;
 
@@ -156,7 +156,7 @@
 	end_call(call, HTTP_CALL_NOT_SENT, NULL, -EMFILE);
 }
 
-void http_pool_send(struct http_pool *p, struct http_call *call, struct buf *bytes)
+void conn_pool_send(struct conn_pool *p, struct http_call *call, struct buf *bytes)
 {
 	struct pool_conn *pc = take_idle(p, call->max_idle_ms);
 
@@ -209,7 +209,7 @@
 		send_now(pc->call);
 }
 
-static uint64_t idle_limit_us(const struct http_pool *p, const struct http_msg *m)
+static uint64_t idle_limit_us(const struct conn_pool *p, const struct http_msg *m)
 {
 	const char *field = http_msg_find(m, "keep-alive");
 	const char *timeout = field ? strstr(field, "timeout=") : NULL;
@@ -222,7 +222,7 @@
 
 static void keep(struct pool_conn *pc, const struct http_msg *m)
 {
-	struct http_pool *p = pc->pool;
+	struct conn_pool *p = pc->pool;
 
 	if (!m->keep_alive || http_conn_unsent(pc->conn) || p->n_idle >= p->cfg.idle_max) {
 		discard(pc);
@@ -296,12 +296,12 @@
 	.closed = on_closed,
 };
 
-uint32_t http_pool_open(const struct http_pool *p)
+uint32_t conn_pool_open(const struct conn_pool *p)
 {
 	return p->n_open;
 }
 
-uint64_t http_pool_opened(const struct http_pool *p)
+uint64_t conn_pool_opened(const struct conn_pool *p)
 {
 	return p->opened;
 }
--- a/net/http_pool.h
+++ b/net/conn_pool.h
@@ -1,14 +1,14 @@
 /**
- * @file http_pool.h
+ * @file conn_pool.h
  * Calls to one HTTP server over kept connections, one call at a time on each.
  */
-#ifndef NET_HTTP_POOL_H
-#define NET_HTTP_POOL_H
+#ifndef NET_CONN_POOL_H
+#define NET_CONN_POOL_H
 
 #include "net/http_conn.h"
 #include "net/timer.h"
 
-struct http_pool;
+struct conn_pool;
 struct http_call;
 
 /** What is known of a call that ended without an answer. */
@@ -33,14 +33,14 @@
 	/** Only a connection that was used within this time is taken; 0 for any. */
 	uint64_t max_idle_ms;
 	/** Private. */
-	struct http_pool *pool;
+	struct conn_pool *pool;
 	struct http_conn *conn;
 	struct buf bytes;
 	struct timer *timer;
 	bool sent;
 };
 
-struct http_pool_cfg {
+struct conn_pool_cfg {
 	struct sockaddr_in addr;
 	struct http_limits limits;
 	uint64_t connect_timeout_ms;
@@ -50,30 +50,30 @@
 	uint32_t idle_max;
 };
 
-struct http_pool *http_pool_create(uv_loop_t *loop, const struct http_pool_cfg *cfg);
+struct conn_pool *conn_pool_create(uv_loop_t *loop, const struct conn_pool_cfg *cfg);
 
 /** Closes idle connections. Calls must have ended. */
-void http_pool_destroy(struct http_pool *p);
+void conn_pool_destroy(struct conn_pool *p);
 
 /** Sends the bytes of a request on an idle or a new connection; takes the bytes over. */
-void http_pool_send(struct http_pool *p, struct http_call *call, struct buf *bytes);
+void conn_pool_send(struct conn_pool *p, struct http_call *call, struct buf *bytes);
 
 /** Ends a call without a callback by closing its connection. */
 void http_call_cancel(struct http_call *call);
 
-/** True between http_pool_send() and the end of the call. */
+/** True between conn_pool_send() and the end of the call. */
 bool http_call_active(const struct http_call *call);
 
 /** Closes connections that have been idle too long; call about once a second. */
-void http_pool_sweep(struct http_pool *p);
+void conn_pool_sweep(struct conn_pool *p);
 
 /** Closes all idle connections, for example after one proved dead. */
-void http_pool_drop_idle(struct http_pool *p);
+void conn_pool_drop_idle(struct conn_pool *p);
 
 /** Open connections, idle ones included. */
-uint32_t http_pool_open(const struct http_pool *p);
+uint32_t conn_pool_open(const struct conn_pool *p);
 
 /** Connections opened since the pool was created. */
-uint64_t http_pool_opened(const struct http_pool *p);
+uint64_t conn_pool_opened(const struct conn_pool *p);
 
 #endif
