--- a/platform/json.c
+++ b/common/json.c
@@ -1,6 +1,4 @@
-#include "platform/json.h"
-
-#include "platform/decode.h"
+#include "common/json.h"
 
 #include <limits.h>
 
@@ -62,14 +60,19 @@
 	return true;
 }
 
-bool json_member_time_ms(struct json_object *o, const char *name, uint64_t *out)
+struct json_object *json_member_array(struct json_object *o, const char *name)
+{
+	return member(o, name, json_type_array);
+}
+
+bool json_member_true(struct json_object *o, const char *name)
 {
-	const char *text = json_member_text(o, name);
+	struct json_object *v = member(o, name, json_type_boolean);
 
-	return text && !platform_parse_time_ms(text, out);
+	return v && json_object_get_boolean(v);
 }
 
-struct json_object *json_member_array(struct json_object *o, const char *name)
+struct json_object *json_member_object(struct json_object *o, const char *name)
 {
-	return member(o, name, json_type_array);
+	return member(o, name, json_type_object);
 }
--- a/platform/json.h
+++ b/common/json.h
@@ -2,8 +2,8 @@
  * @file json.h
  * Checked access to the members of JSON objects.
  */
-#ifndef PLATFORM_JSON_H
-#define PLATFORM_JSON_H
+#ifndef COMMON_JSON_H
+#define COMMON_JSON_H
 
 #include <json-c/json.h>
 #include <stdbool.h>
@@ -22,8 +22,11 @@
 /** Number of a member. Returns false if it is missing or of another type. */
 bool json_member_number(struct json_object *o, const char *name, double *out);
 
-/** Time of a member in milliseconds. Returns false if it is missing or no time. */
-bool json_member_time_ms(struct json_object *o, const char *name, uint64_t *out);
+/** Truth value of a member; false if it is missing or of another type. */
+bool json_member_true(struct json_object *o, const char *name);
+
+/** Object of a member, or NULL if it is missing or of another type. */
+struct json_object *json_member_object(struct json_object *o, const char *name);
 
 /** Array of a member, or NULL if it is missing or of another type. */
 struct json_object *json_member_array(struct json_object *o, const char *name);
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -1,9 +1,9 @@
 #include "mesh/members.h"
 
 #include "common/clock.h"
+#include "common/json.h"
 #include "mesh/event_log.h"
 
-#include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -106,46 +106,38 @@
 
 static const char *text_of(struct json_object *o, const char *name)
 {
-	struct json_object *v;
+	const char *text = json_member_text(o, name);
 
-	if (!json_object_object_get_ex(o, name, &v) || !json_object_is_type(v, json_type_string))
-		return "";
-	return json_object_get_string(v);
+	return text ? text : "";
 }
 
-static int64_t number_of(struct json_object *o, const char *name)
+static enum target_phase phase_of(const char *text)
 {
-	struct json_object *v;
-
-	return json_object_object_get_ex(o, name, &v) ? json_object_get_int64(v) : 0;
+	if (!strcmp(text, "serving"))
+		return TARGET_SERVING;
+	return !strcmp(text, "leaving") ? TARGET_LEAVING : TARGET_GONE;
 }
 
 static bool read_entry(const char *value, size_t len, struct member *out)
 {
-	struct json_tokener *tok = json_tokener_new();
-	struct json_object *o = json_tokener_parse_ex(tok, value, (int)len);
-	const char *phase;
-	bool ok = false;
-
-	if (json_object_is_type(o, json_type_object) &&
-	    !mesh_parse_addr(text_of(o, "address"), &out->addr)) {
-		br_copy_text(out->id.text, sizeof(out->id.text), text_of(o, "address"));
-		br_copy_text(out->zone, sizeof(out->zone), text_of(o, "zone"));
-		br_copy_text(out->target.id, sizeof(out->target.id), text_of(o, "target"));
-		br_copy_text(out->target.service, sizeof(out->target.service),
-			     text_of(o, "service"));
-		out->target.slots = (uint32_t)number_of(o, "slots");
-		out->target.cold_until_us =
-			clock_now_us() + (uint64_t)number_of(o, "cold_ms") * BR_US_PER_MS;
-		phase = text_of(o, "phase");
-		out->target.phase = !strcmp(phase, "serving")	? TARGET_SERVING
-				    : !strcmp(phase, "leaving") ? TARGET_LEAVING
-								: TARGET_GONE;
-		ok = true;
+	struct json_object *o = json_parse_object(value, len);
+	uint64_t slots = 0, cold_ms = 0;
+
+	if (!o || mesh_parse_addr(text_of(o, "address"), &out->addr)) {
+		json_object_put(o);
+		return false;
 	}
+	json_member_u64(o, "slots", &slots);
+	json_member_u64(o, "cold_ms", &cold_ms);
+	br_copy_text(out->id.text, sizeof(out->id.text), text_of(o, "address"));
+	br_copy_text(out->zone, sizeof(out->zone), text_of(o, "zone"));
+	br_copy_text(out->target.id, sizeof(out->target.id), text_of(o, "target"));
+	br_copy_text(out->target.service, sizeof(out->target.service), text_of(o, "service"));
+	out->target.slots = (uint32_t)slots;
+	out->target.cold_until_us = clock_now_us() + cold_ms * BR_US_PER_MS;
+	out->target.phase = phase_of(text_of(o, "phase"));
 	json_object_put(o);
-	json_tokener_free(tok);
-	return ok;
+	return true;
 }
 
 static struct slot *find(struct members *ms, const char *node)
--- a/mesh/view_watch.c
+++ b/mesh/view_watch.c
@@ -1,6 +1,7 @@
 #include "mesh/view_watch.h"
 
 #include "common/clock.h"
+#include "common/json.h"
 #include "mesh/election.h"
 #include "mesh/event_log.h"
 #include "mesh/members.h"
@@ -8,7 +9,6 @@
 #include "net/timer.h"
 #include "platform/store.h"
 
-#include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -239,27 +239,20 @@
 
 void view_take(struct view_watch *w, const char *bytes, size_t len)
 {
-	struct json_tokener *tok = json_tokener_new();
-	struct json_object *o = json_tokener_parse_ex(tok, bytes, (int)len);
-	struct json_object *list, *missing, *revision, *whole;
-	uint64_t started_us = clock_now_us();
-
-	if (json_object_is_type(o, json_type_object) &&
-	    json_object_object_get_ex(o, "members", &list) &&
-	    json_object_is_type(list, json_type_object) &&
-	    json_object_object_get_ex(o, "missing", &missing) &&
-	    json_object_is_type(missing, json_type_array) &&
-	    json_object_object_get_ex(o, "whole", &whole) &&
-	    json_object_object_get_ex(o, "revision", &revision)) {
+	struct json_object *o = json_parse_object(bytes, len);
+	struct json_object *list = o ? json_member_object(o, "members") : NULL;
+	struct json_object *missing = o ? json_member_array(o, "missing") : NULL;
+	uint64_t started_us = clock_now_us(), revision = 0;
+
+	if (list && missing && json_member_u64(o, "revision", &revision)) {
 		take_members(w, list);
 		take_missing(w, missing);
-		if (json_object_get_boolean(whole))
+		if (json_member_true(o, "whole"))
 			members_missing_since(w->board->members, started_us);
 		if (!w->calling)
-			set_revision(w, json_object_get_uint64(revision));
+			set_revision(w, revision);
 	} else {
 		EVENT(EVENT_WARNING, "view", "unreadable", EVENT_NUMBER("bytes", len));
 	}
 	json_object_put(o);
-	json_tokener_free(tok);
 }
