--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -5,6 +5,7 @@
 #include "mesh/request.h"
 
 #include <stdlib.h>
+#include <sys/queue.h>
 
 /* Before the first configuration sets the limits. */
 #define HEADER_BYTES 16384
@@ -32,13 +33,13 @@
 	uint32_t n_turns;
 	/** No further request is taken. */
 	bool ending;
-	struct caller *prev, *next;
+	LIST_ENTRY(caller) link;
 };
 
 struct caller_server {
 	struct board *board;
 	uv_tcp_t listener;
-	struct caller *callers;
+	LIST_HEAD(, caller) callers;
 };
 
 static void free_caller(struct caller *c)
@@ -52,12 +53,7 @@
 		buf_free(&t->answer);
 		free(t);
 	}
-	if (c->prev)
-		c->prev->next = c->next;
-	else
-		c->server->callers = c->next;
-	if (c->next)
-		c->next->prev = c->prev;
+	LIST_REMOVE(c, link);
 	free(c);
 }
 
@@ -193,10 +189,7 @@
 		free(c);
 		return;
 	}
-	c->next = s->callers;
-	if (c->next)
-		c->next->prev = c;
-	s->callers = c;
+	LIST_INSERT_HEAD(&s->callers, c, link);
 }
 
 struct caller_server *caller_server_create(struct board *board)
@@ -216,8 +209,8 @@
 	if (!s)
 		return;
 	uv_close((uv_handle_t *)&s->listener, NULL);
-	for (struct caller *next, *c = s->callers; c; c = next) {
-		next = c->next;
+	for (struct caller *next, *c = LIST_FIRST(&s->callers); c; c = next) {
+		next = LIST_NEXT(c, link);
 		http_conn_close(c->conn);
 		free_caller(c);
 	}
@@ -243,8 +236,8 @@
 	uint64_t now_us = clock_now_us();
 	struct caller *next;
 
-	for (struct caller *c = s->callers; c; c = next) {
-		next = c->next;
+	for (struct caller *c = LIST_FIRST(&s->callers); c; c = next) {
+		next = LIST_NEXT(c, link);
 		if (!time_is_over(c, now_us))
 			continue;
 		http_conn_close(c->conn);
@@ -254,8 +247,10 @@
 
 bool caller_server_quiet(const struct caller_server *s)
 {
-	for (const struct caller *c = s->callers; c; c = c->next)
-		if (c->head || http_conn_unsent(c->conn) || http_conn_begun_us(c->conn))
-			return false;
+	const struct caller *c;
+
+	LIST_FOREACH(c, &s->callers, link)
+	if (c->head || http_conn_unsent(c->conn) || http_conn_begun_us(c->conn))
+		return false;
 	return true;
 }
--- a/mesh/job.h
+++ b/mesh/job.h
@@ -10,6 +10,8 @@
 #include "mesh/model.h"
 #include "net/conn_pool.h"
 
+#include <sys/queue.h>
+
 enum job_result {
 	/** The target ran the request and its whole answer is here. */
 	JOB_ANSWERED,
@@ -74,7 +76,7 @@
 	struct br_admission_entry entry;
 	uint64_t started_us;
 	bool call_failed;
-	struct job *prev_running, *next_running;
+	LIST_ENTRY(job) running;
 	void *runner;
 	void (*cancel)(struct job *job);
 };
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -9,6 +9,7 @@
 #include <errno.h>
 #include <stddef.h>
 #include <stdlib.h>
+#include <sys/queue.h>
 
 /* The other node's answer to a deadline that has passed arrives within this time. */
 #define ANSWER_MARGIN_MS 150
@@ -161,7 +162,7 @@
 struct peer_conn {
 	struct peer_server *server;
 	struct http_conn *conn;
-	struct peer_conn *prev, *next;
+	LIST_ENTRY(peer_conn) link;
 	/** The job that the connection carries, if any. */
 	struct http_msg *msg;
 	struct peer_job head;
@@ -172,7 +173,7 @@
 struct peer_server {
 	struct board *board;
 	uv_tcp_t listener;
-	struct peer_conn *conns;
+	LIST_HEAD(, peer_conn) conns;
 	uint32_t active;
 };
 
@@ -183,12 +184,7 @@
 		pc->server->active--;
 	}
 	http_msg_destroy(pc->msg);
-	if (pc->prev)
-		pc->prev->next = pc->next;
-	else
-		pc->server->conns = pc->next;
-	if (pc->next)
-		pc->next->prev = pc->prev;
+	LIST_REMOVE(pc, link);
 	free(pc);
 }
 
@@ -307,10 +303,7 @@
 		free(pc);
 		return;
 	}
-	pc->next = s->conns;
-	if (pc->next)
-		pc->next->prev = pc;
-	s->conns = pc;
+	LIST_INSERT_HEAD(&s->conns, pc, link);
 }
 
 struct peer_server *peer_server_create(struct board *board)
@@ -330,8 +323,8 @@
 	if (!s)
 		return;
 	uv_close((uv_handle_t *)&s->listener, NULL);
-	for (struct peer_conn *next, *c = s->conns; c; c = next) {
-		next = c->next;
+	for (struct peer_conn *next, *c = LIST_FIRST(&s->conns); c; c = next) {
+		next = LIST_NEXT(c, link);
 		http_conn_close(c->conn);
 		free_conn(c);
 	}
@@ -347,8 +340,8 @@
 	struct peer_conn *next;
 	uint64_t now_us = clock_now_us();
 
-	for (struct peer_conn *pc = s->conns; pc; pc = next) {
-		next = pc->next;
+	for (struct peer_conn *pc = LIST_FIRST(&s->conns); pc; pc = next) {
+		next = LIST_NEXT(pc, link);
 		if (pc->busy || now_us - http_conn_received_us(pc->conn) < SERVER_IDLE_US)
 			continue;
 		http_conn_close(pc->conn);
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -58,7 +58,7 @@
 	uint64_t grant_until_us;
 	struct br_quota_share *share;
 	/** Oldest first. */
-	struct quota_wait *head, *tail;
+	TAILQ_HEAD(, quota_wait) waits;
 	uint64_t node_hash;
 	/** Last answer of the keeper, and the first ask that has none since. */
 	uint64_t heard_us, unanswered_us, asked_us;
@@ -113,15 +113,7 @@
 
 static void unlink_wait(struct quota *q, struct quota_wait *w)
 {
-	if (w->prev)
-		w->prev->next = w->next;
-	else
-		q->head = w->next;
-	if (w->next)
-		w->next->prev = w->prev;
-	else
-		q->tail = w->prev;
-	w->prev = w->next = NULL;
+	TAILQ_REMOVE(&q->waits, w, link);
 	w->waiting = false;
 }
 
@@ -184,6 +176,7 @@
 static void ask(struct quota *q, uint64_t ahead_hash, uint32_t ahead, uint64_t now_us)
 {
 	struct sockaddr_in to = q->keeper_addr;
+	struct quota_wait *w;
 	struct message m = {0};
 	uint32_t n = 0;
 
@@ -196,7 +189,8 @@
 	m.asked_low = low_of(now_us);
 	if (ahead)
 		n = add_row(&m, n, ahead_hash, ahead);
-	for (struct quota_wait *w = q->head; w; w = w->next) {
+	TAILQ_FOREACH(w, &q->waits, link)
+	{
 		if (w->asked_us && now_us - w->asked_us < ANSWER_WAIT_US)
 			continue;
 		w->asked_us = now_us;
@@ -262,8 +256,8 @@
 		br_quota_share_add(q->share,
 				   join(in->rows[i].account_high, in->rows[i].account_low),
 				   ntohl(in->rows[i].n), asked_us);
-	for (struct quota_wait *w = q->head; w; w = next) {
-		next = w->next;
+	for (struct quota_wait *w = TAILQ_FIRST(&q->waits); w; w = next) {
+		next = TAILQ_NEXT(w, link);
 		if (w->asked_us == asked_us)
 			end_wait(q, w, br_quota_share_take(q->share, w->account_hash, now_us));
 	}
@@ -303,8 +297,8 @@
 {
 	struct quota_wait *next;
 
-	for (struct quota_wait *w = q->head; w; w = next) {
-		next = w->next;
+	for (struct quota_wait *w = TAILQ_FIRST(&q->waits); w; w = next) {
+		next = TAILQ_NEXT(w, link);
 		if (now_us - w->since_us < ANSWER_WAIT_US * 3)
 			continue;
 		end_wait(q, w,
@@ -318,10 +312,10 @@
 	struct quota *q = arg;
 	uint64_t now_us = clock_now_us();
 
-	if (q->head)
+	if (!TAILQ_EMPTY(&q->waits))
 		ask(q, 0, 0, now_us);
 	end_waits_without_keeper(q, now_us);
-	if (!q->head)
+	if (TAILQ_EMPTY(&q->waits))
 		timer_cancel(&q->ticker);
 }
 
@@ -345,6 +339,7 @@
 
 	q->board = board;
 	q->link = link;
+	TAILQ_INIT(&q->waits);
 	q->share = br_quota_share_create();
 	BR_INVARIANT(q->share);
 	q->node_hash = br_hash_str(board->settings->node, clock_now_us());
@@ -406,13 +401,7 @@
 	w->asked_us = 0;
 	w->since_us = now_us;
 	w->waiting = true;
-	w->next = NULL;
-	w->prev = q->tail;
-	if (q->tail)
-		q->tail->next = w;
-	else
-		q->head = w;
-	q->tail = w;
+	TAILQ_INSERT_TAIL(&q->waits, w, link);
 	if (!q->ticker)
 		q->ticker = timer_repeat(q->board->loop, TICK_MS, on_tick, q);
 	ask(q, a->name_hash, br_quota_share_want(q->share, a->name_hash, now_us), now_us);
--- a/mesh/quota.h
+++ b/mesh/quota.h
@@ -7,13 +7,15 @@
 
 #include "mesh/board.h"
 
+#include <sys/queue.h>
+
 struct keeper_link;
 
 /** A request that waits for a token; embedded by its owner. */
 struct quota_wait {
 	void (*done)(struct quota_wait *w, bool granted);
 	/** Private. */
-	struct quota_wait *prev, *next;
+	TAILQ_ENTRY(quota_wait) link;
 	uint64_t account_hash;
 	double rate_per_s;
 	uint64_t asked_us, since_us;
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -12,6 +12,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #define HEADER_BYTES 8192
 #define BODY_BYTES 65536
@@ -21,13 +22,13 @@
 struct service_server {
 	struct board *board;
 	uv_tcp_t listeners[LISTENERS];
-	struct service_conn *conns;
+	LIST_HEAD(, service_conn) conns;
 };
 
 struct service_conn {
 	struct service_server *server;
 	struct http_conn *conn;
-	struct service_conn *prev, *next;
+	LIST_ENTRY(service_conn) link;
 };
 
 static const struct {
@@ -161,12 +162,7 @@
 
 static void free_conn(struct service_conn *sc)
 {
-	if (sc->prev)
-		sc->prev->next = sc->next;
-	else
-		sc->server->conns = sc->next;
-	if (sc->next)
-		sc->next->prev = sc->prev;
+	LIST_REMOVE(sc, link);
 	free(sc);
 }
 
@@ -194,10 +190,7 @@
 		free(sc);
 		return;
 	}
-	sc->next = s->conns;
-	if (sc->next)
-		sc->next->prev = sc;
-	s->conns = sc;
+	LIST_INSERT_HEAD(&s->conns, sc, link);
 }
 
 struct service_server *service_server_create(struct board *board)
@@ -223,8 +216,8 @@
 		return;
 	for (int i = 0; i < LISTENERS; i++)
 		uv_close((uv_handle_t *)&s->listeners[i], NULL);
-	for (struct service_conn *next, *c = s->conns; c; c = next) {
-		next = c->next;
+	for (struct service_conn *next, *c = LIST_FIRST(&s->conns); c; c = next) {
+		next = LIST_NEXT(c, link);
 		http_conn_close(c->conn);
 		free_conn(c);
 	}
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -33,7 +33,7 @@
 	uint64_t born_ms, sequence, leaving_until_us;
 	struct br_admission *queue;
 	struct conn_pool *pool;
-	struct job *running;
+	LIST_HEAD(, job) running;
 	struct timer *ticker;
 };
 
@@ -212,33 +212,17 @@
 	return not_run(msg) && !is_success(msg);
 }
 
-static void link_running(struct target *t, struct job *job)
-{
-	job->prev_running = NULL;
-	job->next_running = t->running;
-	if (t->running)
-		t->running->prev_running = job;
-	t->running = job;
-}
-
-static void unlink_running(struct target *t, struct job *job)
-{
-	if (job->prev_running)
-		job->prev_running->next_running = job->next_running;
-	else
-		t->running = job->next_running;
-	if (job->next_running)
-		job->next_running->prev_running = job->prev_running;
-}
-
 static struct job *find_caller(const struct target *t, const char *call_id)
 {
 	const char *end = strrchr(call_id, CALL_ID_SEPARATOR);
 	size_t len = end ? (size_t)(end - call_id) : 0;
+	struct job *job;
 
-	for (struct job *job = t->running; len && job; job = job->next_running)
-		if (strlen(job->id) == len && !memcmp(job->id, call_id, len))
-			return job;
+	if (!len)
+		return NULL;
+	LIST_FOREACH(job, &t->running, running)
+	if (strlen(job->id) == len && !memcmp(job->id, call_id, len))
+		return job;
 	return NULL;
 }
 
@@ -263,7 +247,7 @@
 	uint64_t now_us = clock_now_us();
 	bool ran = fate == HTTP_CALL_ANSWERED && !not_run(msg);
 
-	unlink_running(t, job);
+	LIST_REMOVE(job, running);
 	br_admission_done(t->queue, &job->entry, ran ? now_us - job->started_us : 0, now_us);
 	if (fate == HTTP_CALL_NOT_SENT) {
 		end_job(t, job, JOB_NOT_RUN, JOB_REASON_UNREACHABLE, NULL, false);
@@ -288,7 +272,7 @@
 	struct target *t = job->runner;
 
 	http_call_cancel(&job->call);
-	unlink_running(t, job);
+	LIST_REMOVE(job, running);
 	br_admission_done(t->queue, &job->entry, 0, clock_now_us());
 	start_next(t);
 }
@@ -307,7 +291,7 @@
 
 	job->started_us = now_us;
 	job->cancel = cancel_running;
-	link_running(t, job);
+	LIST_INSERT_HEAD(&t->running, job, running);
 	job->call = (struct http_call){
 		.done = on_answer,
 		.belongs = answer_belongs,
