Answer HEAD

Cause: the node waited for the body that the length of an answer to HEAD announces, and answered 504 at the route's timeout.

--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -88,8 +88,6 @@
 {
 	buf_printf(&t->answer, "HTTP/1.1 %u %s\r\n", a->status, http_reason(a->status));
 	buf_append(&t->answer, a->fields.data, a->fields.len);
-	if (a->status != 204 && a->status != 304)
-		buf_printf(&t->answer, "Content-Length: %zu\r\n", a->body.len);
 	buf_printf(&t->answer, "%s\r\n", t->last ? "Connection: close\r\n" : "");
 	buf_append(&t->answer, a->body.data, a->body.len);
 }
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -142,6 +142,7 @@
 	job->cancel = cancel;
 	job->call = (struct http_call){
 		.done = on_done,
+		.head = http_msg_is_head(job->msg),
 		.timeout_ms = (job->deadline_us > now_us ? (job->deadline_us - now_us) / 1000 : 0) +
 			      ANSWER_MARGIN_MS,
 	};
@@ -206,7 +207,11 @@
 	for (uint32_t i = 0; m && i < m->n_fields; i++)
 		if (!http_field_is_hop(http_msg_name(m, i)))
 			buf_printf(&b, "%s: %s\r\n", http_msg_name(m, i), http_msg_value(m, i));
-	buf_printf(&b, "Content-Length: %zu\r\n\r\n", m ? m->body.len : 0);
+	if (m)
+		http_msg_write_length(&b, m);
+	else
+		buf_text(&b, "Content-Length: 0\r\n");
+	buf_text(&b, "\r\n");
 	if (m)
 		buf_append(&b, m->body.data, m->body.len);
 	http_conn_send(pc->conn, &b);
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -118,6 +118,7 @@
 	if (retry_after_ms)
 		buf_printf(&a.fields, "Retry-After: %" PRIu64 ".%03" PRIu64 "\r\n",
 			   retry_after_ms / 1000, retry_after_ms % 1000);
+	buf_text(&a.fields, "Content-Length: 0\r\n");
 	finish(r, &a);
 }
 
@@ -144,6 +145,7 @@
 		if (!http_field_is_hop(name) && strcmp(name, PEER_END_FIELD) != 0)
 			buf_printf(&a.fields, "%s: %s\r\n", name, http_msg_value(m, i));
 	}
+	http_msg_write_length(&a.fields, m);
 	buf_append(&a.body, m->body.data, m->body.len);
 	if (m->status >= 500)
 		EVENT(EVENT_WARNING, "request", "target_failed", EVENT_TEXT("request", r->id),
--- a/mesh/request.h
+++ b/mesh/request.h
@@ -9,7 +9,7 @@
 
 struct request;
 
-/** The answer to a request: status line, fields and body without the connection's fields. */
+/** The answer to a request: status, fields with the length, and body. */
 struct request_answer {
 	uint16_t status;
 	struct buf fields;
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -295,6 +295,7 @@
 	job->call = (struct http_call){
 		.done = on_answer,
 		.belongs = answer_belongs,
+		.head = http_msg_is_head(job->msg),
 		.timeout_ms = left_ms + ANSWER_MARGIN_MS,
 		.max_idle_ms = job->idempotent ? 0 : ONCE_IDLE_MS,
 	};
--- a/net/conn_pool.c
+++ b/net/conn_pool.c
@@ -127,6 +127,7 @@
 static void send_now(struct http_call *call)
 {
 	call->sent = true;
+	http_conn_expect_no_body(call->conn, call->head);
 	arm(call, call->timeout_ms);
 	http_conn_send(call->conn, &call->bytes);
 }
--- a/net/conn_pool.h
+++ b/net/conn_pool.h
@@ -30,6 +30,8 @@
 	bool (*belongs)(struct http_call *call, const struct http_msg *msg);
 	/** Time after which an unanswered call ends with -ETIMEDOUT; 0 for none. */
 	uint64_t timeout_ms;
+	/** The request is HEAD. */
+	bool head;
 	/** Only a connection that was used within this time is taken; 0 for any. */
 	uint64_t max_idle_ms;
 	/** Private. */
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -31,7 +31,7 @@
 	size_t unsent;
 	/** Error that the parser's callbacks found, as an HTTP status. */
 	uint16_t bad_status;
-	bool value_open, server, closing, finishing, head_done;
+	bool value_open, server, closing, finishing, head_done, no_body;
 };
 
 struct write_op {
@@ -126,8 +126,11 @@
 	c->head_done = true;
 	c->msg->method = (uint8_t)p->method;
 	c->msg->status = (uint16_t)p->status_code;
-	if (!c->server)
-		return 0;
+	if (!c->server) {
+		/* The parser skips the body if this is not 0. */
+		c->msg->no_body = c->no_body && p->status_code >= 200;
+		return c->msg->no_body;
+	}
 	if (p->upgrade || p->http_major != 1)
 		return fail(c, 400);
 	expect = http_msg_find(c->msg, "expect");
@@ -331,6 +334,11 @@
 	return c;
 }
 
+void http_conn_expect_no_body(struct http_conn *c, bool no_body)
+{
+	c->no_body = no_body;
+}
+
 void *http_conn_owner(const struct http_conn *c)
 {
 	return c->owner;
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -45,6 +45,9 @@
 
 void *http_conn_owner(const struct http_conn *c);
 
+/** Connecting ends only: tells whether the next answer is one to HEAD, which has no body. */
+void http_conn_expect_no_body(struct http_conn *c, bool no_body);
+
 /** Queues bytes; takes them over and leaves an empty buffer. */
 void http_conn_send(struct http_conn *c, struct buf *bytes);
 
--- a/net/http_msg.c
+++ b/net/http_msg.c
@@ -51,6 +51,21 @@
 	return n;
 }
 
+bool http_msg_is_head(const struct http_msg *m)
+{
+	return m->method == HTTP_HEAD;
+}
+
+void http_msg_write_length(struct buf *b, const struct http_msg *m)
+{
+	const char *told = m->no_body ? http_msg_find(m, "content-length") : NULL;
+
+	if (told)
+		buf_printf(b, "Content-Length: %s\r\n", told);
+	else if (!m->no_body && m->status != 204 && m->status != 304)
+		buf_printf(b, "Content-Length: %zu\r\n", m->body.len);
+}
+
 bool http_field_is_hop(const char *name)
 {
 	static const char *const hop[] = {
--- a/net/http_msg.h
+++ b/net/http_msg.h
@@ -20,6 +20,8 @@
 	uint8_t method;
 	/** Responses only. */
 	uint16_t status;
+	/** An answer to HEAD: it has no body, whatever its length says. */
+	bool no_body;
 	/** The connection may carry another message after this one. */
 	bool keep_alive;
 	/** Target, field names and values, each with a terminator. */
@@ -44,6 +46,12 @@
 /** Number of fields of that name. */
 uint32_t http_msg_count(const struct http_msg *m, const char *name);
 
+/** True for a HEAD request. */
+bool http_msg_is_head(const struct http_msg *m);
+
+/** Appends the Content-Length field of an answer: that of its body, or the one told for HEAD. */
+void http_msg_write_length(struct buf *b, const struct http_msg *m);
+
 /** True for fields that concern one connection or the framing, which a proxy does not forward. */
 bool http_field_is_hop(const char *name);
 
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -97,6 +97,12 @@
 		http_send(fd, text, (size_t)n);
 		return false;
 	}
+	if (!strcmp(in->method, "HEAD")) {
+		int n = snprintf(text, sizeof(text),
+				 "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\n", fields);
+
+		return http_send(fd, text, (size_t)n);
+	}
 	if (ends(in->target, "/extra") && http_answer(fd, 200, fields, "first"))
 		return http_answer(fd, 200, fields, "second");
 	return http_answer(fd, 200, fields, in->body_len ? in->body : "ok");
