Encode the keeper's datagrams with MessagePack

Cause, found by reading: the datagrams were a struct sent as it lies in memory, against the rule that codecs come from libraries, and unreadable ones were dropped without a line. In the same file a second's grace before a node without a keeper spends its part was dead code, and the page claimed it. Test: round trip, every cut, trailing bytes, unknown type.

--- /dev/null
+++ b/mesh/keeper_message.c
@@ -0,0 +1,79 @@
+#include "mesh/keeper_message.h"
+
+#include <errno.h>
+#include <msgpack.h>
+#include <stdbool.h>
+#include <string.h>
+
+/* Changes when older nodes could not read a message. */
+#define PROTOCOL 1
+/* Numbers before the rows. */
+#define HEAD 8
+
+size_t keeper_message_write(const struct keeper_message *m, char *out, size_t out_bytes)
+{
+	const uint64_t head[HEAD] = {PROTOCOL,	 m->type,	  m->node,	  m->asked_us,
+				     m->version, m->confirmed_ms, m->incarnation, m->view_changes};
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	size_t len;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, HEAD + 2 * m->n_rows);
+	for (int i = 0; i < HEAD; i++)
+		msgpack_pack_uint64(&pk, head[i]);
+	for (uint32_t i = 0; i < m->n_rows; i++) {
+		msgpack_pack_uint64(&pk, m->rows[i].account);
+		msgpack_pack_uint64(&pk, m->rows[i].tokens);
+	}
+	len = buf.size <= out_bytes ? buf.size : 0;
+	memcpy(out, buf.data, len);
+	msgpack_sbuffer_destroy(&buf);
+	return len;
+}
+
+static bool read_numbers(const msgpack_object *o, uint64_t *out, uint32_t *n)
+{
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < HEAD ||
+	    o->via.array.size > HEAD + 2 * KEEPER_ROWS_MAX || o->via.array.size % 2)
+		return false;
+	*n = o->via.array.size;
+	for (uint32_t i = 0; i < *n; i++) {
+		if (o->via.array.ptr[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			return false;
+		out[i] = o->via.array.ptr[i].via.u64;
+	}
+	return out[0] == PROTOCOL && (out[1] == KEEPER_ASK || out[1] == KEEPER_GRANT);
+}
+
+int keeper_message_read(const char *bytes, size_t len, struct keeper_message *out)
+{
+	uint64_t v[HEAD + 2 * KEEPER_ROWS_MAX];
+	msgpack_unpacked unpacked;
+	uint32_t n = 0;
+	size_t off = 0;
+	bool ok;
+
+	msgpack_unpacked_init(&unpacked);
+	ok = msgpack_unpack_next(&unpacked, bytes, len, &off) == MSGPACK_UNPACK_SUCCESS &&
+	     off == len && read_numbers(&unpacked.data, v, &n);
+	msgpack_unpacked_destroy(&unpacked);
+	if (!ok)
+		return -EBADMSG;
+	*out = (struct keeper_message){
+		.type = (enum keeper_message_type)v[1],
+		.node = v[2],
+		.asked_us = v[3],
+		.version = v[4],
+		.confirmed_ms = v[5],
+		.incarnation = (uint32_t)v[6],
+		.view_changes = (uint32_t)v[7],
+		.n_rows = (n - HEAD) / 2,
+	};
+	for (uint32_t i = 0; i < out->n_rows; i++) {
+		out->rows[i].account = v[HEAD + 2 * i];
+		out->rows[i].tokens = (uint32_t)v[HEAD + 2 * i + 1];
+	}
+	return 0;
+}
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -5,6 +5,7 @@
 #include "mesh/config_watch.h"
 #include "mesh/event_log.h"
 #include "mesh/keeper_link.h"
+#include "mesh/keeper_message.h"
 #include "mesh/members.h"
 
 #include <arpa/inet.h>
@@ -21,31 +22,6 @@
  * otherwise be missing; the rest covers tokens that are spent a little later than they are granted.
  */
 #define TOLERANCE_USED 0.5
-#define DATAGRAM_BYTES 1200
-#define ROWS_MAX 64
-#define MESSAGE_ASK 1
-#define MESSAGE_GRANT 2
-
-/** Message between a node and the keeper; all numbers in network byte order. */
-struct message_row {
-	uint32_t account_high, account_low;
-	uint32_t n;
-};
-
-struct message {
-	uint32_t type;
-	uint32_t node_high, node_low;
-	/** Time of the sender of the ask, returned in the grant. */
-	uint32_t asked_high, asked_low;
-	/** Configuration in force at the sender, and how long ago it knew of no newer one. */
-	uint32_t version_high, version_low, confirmed_ms;
-	/** Incarnation of the keeper, and its count of changes of the view. */
-	uint32_t incarnation, view_changes;
-	uint32_t n_rows;
-	struct message_row rows[ROWS_MAX];
-};
-
-#define MESSAGE_HEAD_BYTES offsetof(struct message, rows)
 
 struct quota {
 	struct board *board;
@@ -53,44 +29,29 @@
 	struct timer *ticker, *idle_ticker;
 	struct keeper_link *link;
 	char keeper_node[BR_NAME_BYTES];
+	/** Where the keeper takes datagrams, and its port for connections. */
 	struct sockaddr_in keeper_addr;
+	in_port_t keeper_port;
 	struct br_quota_keeper *keeper;
 	uint64_t grant_until_us;
 	struct br_quota_share *share;
 	/** Oldest first. */
 	TAILQ_HEAD(, quota_wait) waits;
 	uint64_t node_hash;
-	/** Last answer of the keeper, and the first ask that has none since. */
-	uint64_t heard_us, unanswered_us, asked_us;
+	/** First ask that has no answer since the last one, and the last ask. */
+	uint64_t unanswered_us, asked_us;
 };
 
-static uint64_t join(uint32_t high, uint32_t low)
-{
-	return (uint64_t)ntohl(high) << 32 | ntohl(low);
-}
-
-static uint32_t high_of(uint64_t v)
-{
-	return htonl((uint32_t)(v >> 32));
-}
-
-static uint32_t low_of(uint64_t v)
-{
-	return htonl((uint32_t)v);
-}
-
 static bool is_keeper(const struct quota *q, uint64_t now_us)
 {
 	return q->keeper && now_us < q->grant_until_us;
 }
 
-/* The keeper withholds a silent node's part only after this time. */
+/* Without a keeper, or one that answers, a node spends its equal part. */
 static bool keeper_lost(const struct quota *q, uint64_t now_us)
 {
-	if (is_keeper(q, now_us))
-		return false;
 	if (!*q->keeper_node)
-		return now_us - q->heard_us >= BR_QUOTA_SILENT_US;
+		return true;
 	return q->unanswered_us && now_us - q->unanswered_us >= BR_QUOTA_SILENT_US;
 }
 
@@ -137,128 +98,108 @@
 				     now_us);
 }
 
-static void send_message(struct quota *q, const struct sockaddr *to, const struct message *m,
-			 uint32_t n_rows)
+static void send_message(struct quota *q, const struct sockaddr *to, const struct keeper_message *m)
 {
-	size_t bytes = MESSAGE_HEAD_BYTES + n_rows * sizeof(m->rows[0]);
-	uv_buf_t chunk = uv_buf_init((char *)m, (unsigned int)bytes);
+	char bytes[KEEPER_MESSAGE_BYTES];
+	size_t len = keeper_message_write(m, bytes, sizeof(bytes));
+	uv_buf_t chunk = uv_buf_init(bytes, (unsigned int)len);
 
-	if (uv_udp_try_send(&q->udp, &chunk, 1, to) < 0)
-		EVENT(EVENT_WARNING, "quota", "send_failed", EVENT_NUMBER("bytes", bytes));
+	/* A datagram that is lost is asked for again. */
+	if (!len || uv_udp_try_send(&q->udp, &chunk, 1, to) < 0)
+		EVENT(EVENT_WARNING, "quota", "send_failed", EVENT_NUMBER("bytes", len));
 }
 
 /* Adds a row for an account, or raises the one that is there. */
-static uint32_t add_row(struct message *m, uint32_t n, uint64_t hash, uint32_t want)
+static void add_row(struct keeper_message *m, uint64_t account, uint32_t tokens)
 {
-	for (uint32_t i = 0; i < n; i++) {
-		if (join(m->rows[i].account_high, m->rows[i].account_low) != hash)
+	for (uint32_t i = 0; i < m->n_rows; i++) {
+		if (m->rows[i].account != account)
 			continue;
-		m->rows[i].n = htonl(ntohl(m->rows[i].n) + want);
-		return n;
+		m->rows[i].tokens += tokens;
+		return;
 	}
-	if (n < ROWS_MAX)
-		m->rows[n++] = (struct message_row){high_of(hash), low_of(hash), htonl(want)};
-	return n;
+	if (m->n_rows < KEEPER_ROWS_MAX)
+		m->rows[m->n_rows++] = (struct keeper_row){.account = account, .tokens = tokens};
 }
 
-static void write_state(const struct quota *q, struct message *m)
+static void write_state(const struct quota *q, struct keeper_message *m)
 {
-	uint64_t version = q->board->config ? q->board->config->version : 0;
-	uint64_t age_ms = config_confirmed_ms(q->board);
-
-	m->version_high = high_of(version);
-	m->version_low = low_of(version);
-	m->confirmed_ms = htonl(age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX);
-	m->incarnation = htonl(keeper_link_incarnation(q->link));
-	m->view_changes = htonl(q->board->view_changes);
+	m->version = q->board->config ? q->board->config->version : 0;
+	m->confirmed_ms = config_confirmed_ms(q->board);
+	m->incarnation = keeper_link_incarnation(q->link);
+	m->view_changes = q->board->view_changes;
 }
 
 static void ask(struct quota *q, uint64_t ahead_hash, uint32_t ahead, uint64_t now_us)
 {
-	struct sockaddr_in to = q->keeper_addr;
+	struct keeper_message m = {.type = KEEPER_ASK, .node = q->node_hash, .asked_us = now_us};
 	struct quota_wait *w;
-	struct message m = {0};
-	uint32_t n = 0;
 
 	if (!*q->keeper_node)
 		return;
-	m.type = htonl(MESSAGE_ASK);
-	m.node_high = high_of(q->node_hash);
-	m.node_low = low_of(q->node_hash);
-	m.asked_high = high_of(now_us);
-	m.asked_low = low_of(now_us);
 	if (ahead)
-		n = add_row(&m, n, ahead_hash, ahead);
+		add_row(&m, ahead_hash, ahead);
 	TAILQ_FOREACH(w, &q->waits, link)
 	{
 		if (w->asked_us && now_us - w->asked_us < ANSWER_WAIT_US)
 			continue;
 		w->asked_us = now_us;
-		n = add_row(&m, n, w->account_hash, 1);
+		add_row(&m, w->account_hash, 1);
 	}
-	m.n_rows = htonl(n);
 	write_state(q, &m);
-	to.sin_port = htons(q->board->settings->mesh_port);
 	q->asked_us = now_us;
 	if (!q->unanswered_us)
 		q->unanswered_us = now_us;
-	send_message(q, (const struct sockaddr *)&to, &m, n);
+	send_message(q, (const struct sockaddr *)&q->keeper_addr, &m);
 }
 
-static void on_ask(struct quota *q, const struct sockaddr *from, const struct message *in,
-		   uint32_t n_rows)
+static void on_ask(struct quota *q, const struct sockaddr *from, const struct keeper_message *in)
 {
 	uint64_t now_us = clock_now_us();
-	struct message out = *in;
+	struct keeper_message out = *in;
 
-	if (!is_keeper(q, now_us))
+	if (!is_keeper(q, now_us) || br_quota_keeper_hear(q->keeper, in->node, now_us))
 		return;
-	if (br_quota_keeper_hear(q->keeper, join(in->node_high, in->node_low), now_us))
-		return;
-	board_saw_version(q->board, join(in->version_high, in->version_low));
-	out.type = htonl(MESSAGE_GRANT);
+	board_saw_version(q->board, in->version);
+	out.type = KEEPER_GRANT;
 	write_state(q, &out);
-	for (uint32_t i = 0; i < n_rows; i++) {
-		uint64_t hash = join(in->rows[i].account_high, in->rows[i].account_low);
-
-		out.rows[i].n = htonl(keeper_grant(q, hash, ntohl(in->rows[i].n), now_us));
-	}
-	send_message(q, from, &out, n_rows);
+	for (uint32_t i = 0; i < out.n_rows; i++)
+		out.rows[i].tokens =
+			keeper_grant(q, in->rows[i].account, in->rows[i].tokens, now_us);
+	send_message(q, from, &out);
 }
 
-static void take_news(struct quota *q, const struct message *in, uint64_t asked_us)
+static void take_news(struct quota *q, const struct keeper_message *in)
 {
 	struct keeper_news news = {
 		.addr = q->keeper_addr,
-		.version = join(in->version_high, in->version_low),
-		.confirmed_ms = ntohl(in->confirmed_ms),
-		.incarnation = ntohl(in->incarnation),
-		.view_changes = ntohl(in->view_changes),
+		.version = in->version,
+		.confirmed_ms = in->confirmed_ms,
+		.incarnation = in->incarnation,
+		.view_changes = in->view_changes,
 	};
 
+	/* The address of the keeper is that of its connections, not of its datagrams. */
+	news.addr.sin_port = q->keeper_port;
 	keeper_link_news(q->link, &news);
-	config_confirmed_elsewhere(q->board, news.version, news.confirmed_ms, asked_us);
+	config_confirmed_elsewhere(q->board, in->version, in->confirmed_ms, in->asked_us);
 }
 
-static void on_grant(struct quota *q, const struct message *in, uint32_t n_rows)
+static void on_grant(struct quota *q, const struct keeper_message *in)
 {
-	uint64_t asked_us = join(in->asked_high, in->asked_low);
 	uint64_t now_us = clock_now_us();
 	struct quota_wait *next;
 
-	if (join(in->node_high, in->node_low) != q->node_hash || now_us < asked_us ||
-	    now_us - asked_us > BR_QUOTA_GRANT_US)
+	if (in->node != q->node_hash || now_us < in->asked_us ||
+	    now_us - in->asked_us > BR_QUOTA_GRANT_US)
 		return;
-	q->heard_us = now_us;
 	q->unanswered_us = 0;
-	take_news(q, in, asked_us);
-	for (uint32_t i = 0; i < n_rows; i++)
-		br_quota_share_add(q->share,
-				   join(in->rows[i].account_high, in->rows[i].account_low),
-				   ntohl(in->rows[i].n), asked_us);
+	take_news(q, in);
+	for (uint32_t i = 0; i < in->n_rows; i++)
+		br_quota_share_add(q->share, in->rows[i].account, in->rows[i].tokens, in->asked_us);
 	for (struct quota_wait *w = TAILQ_FIRST(&q->waits); w; w = next) {
 		next = TAILQ_NEXT(w, link);
-		if (w->asked_us == asked_us)
+		if (w->asked_us == in->asked_us)
 			end_wait(q, w, br_quota_share_take(q->share, w->account_hash, now_us));
 	}
 }
@@ -267,25 +208,24 @@
 		       unsigned int flags)
 {
 	struct quota *q = udp->data;
-	struct message m;
-	uint32_t n_rows;
+	struct keeper_message m;
 
 	(void)flags;
-	if (n < (ssize_t)MESSAGE_HEAD_BYTES || n > (ssize_t)sizeof(m) || !from)
+	if (n <= 0 || !from)
 		return;
-	memcpy(&m, in->base, (size_t)n);
-	n_rows = ntohl(m.n_rows);
-	if (n_rows > ROWS_MAX || (size_t)n < MESSAGE_HEAD_BYTES + n_rows * sizeof(m.rows[0]))
+	if (keeper_message_read(in->base, (size_t)n, &m)) {
+		EVENT(EVENT_WARNING, "quota", "message_unreadable", EVENT_NUMBER("bytes", n));
 		return;
-	if (ntohl(m.type) == MESSAGE_ASK)
-		on_ask(q, from, &m, n_rows);
-	else if (ntohl(m.type) == MESSAGE_GRANT)
-		on_grant(q, &m, n_rows);
+	}
+	if (m.type == KEEPER_ASK)
+		on_ask(q, from, &m);
+	else
+		on_grant(q, &m);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
 {
-	static char datagram[DATAGRAM_BYTES];
+	static char datagram[KEEPER_MESSAGE_BYTES];
 
 	(void)handle;
 	(void)suggested;
@@ -343,7 +283,6 @@
 	q->share = br_quota_share_create();
 	BR_INVARIANT(q->share);
 	q->node_hash = br_hash_str(board->settings->node, clock_now_us());
-	q->heard_us = clock_now_us();
 	addr.sin_port = htons(board->settings->mesh_port);
 	uv_udp_init(board->loop, &q->udp);
 	q->udp.data = q;
@@ -378,7 +317,6 @@
 		      EVENT_TEXT("to", node));
 		br_copy_text(q->keeper_node, sizeof(q->keeper_node), node);
 		q->unanswered_us = 0;
-		q->heard_us = now_us;
 		q->asked_us = 0;
 	}
 	if (self && !q->keeper)
@@ -387,8 +325,11 @@
 		br_quota_keeper_destroy(q->keeper);
 		q->keeper = NULL;
 	}
-	if (addr)
+	if (addr) {
 		q->keeper_addr = *addr;
+		q->keeper_port = addr->sin_port;
+		q->keeper_addr.sin_port = htons(q->board->settings->mesh_port);
+	}
 	q->grant_until_us = self ? grant_until_us : 0;
 	q->board->is_keeper = is_keeper(q, now_us);
 }
@@ -417,7 +358,7 @@
 		return keeper_grant(q, a->name_hash, 1, now_us) ? QUOTA_GRANTED : QUOTA_DENIED;
 	if (br_quota_share_take(q->share, a->name_hash, now_us))
 		return QUOTA_GRANTED;
-	if (keeper_lost(q, now_us) || !*q->keeper_node)
+	if (keeper_lost(q, now_us))
 		return br_quota_share_take_part(q->share, a->name_hash, a->rate_per_s, n_nodes(q),
 						now_us)
 			       ? QUOTA_GRANTED
--- a/tests/unit/mesh_model.c
+++ b/tests/unit/mesh_model.c
@@ -1,6 +1,7 @@
 #include "mesh/model.h"
 
 #include "briarreel/error.h"
+#include "mesh/keeper_message.h"
 #include "mesh/peer_format.h"
 #include "platform/decode.h"
 
@@ -206,3 +207,37 @@
 	cr_assert_lt(peer_read_job("1 2 3", &back), 0);
 	buf_free(&b);
 }
+
+/* Guards against datagrams that are taken although they are cut, longer or of another protocol. */
+Test(mesh_model, keeper_messages_round_trip)
+{
+	struct keeper_message m = {.type = KEEPER_ASK,
+				   .node = UINT64_MAX,
+				   .asked_us = 1,
+				   .version = 2,
+				   .confirmed_ms = 3,
+				   .incarnation = UINT32_MAX,
+				   .view_changes = 5,
+				   .n_rows = KEEPER_ROWS_MAX};
+	struct keeper_message back;
+	char bytes[KEEPER_MESSAGE_BYTES + 1];
+	size_t len;
+
+	for (uint32_t i = 0; i < m.n_rows; i++)
+		m.rows[i] = (struct keeper_row){.account = UINT64_MAX - i, .tokens = i};
+	len = keeper_message_write(&m, bytes, KEEPER_MESSAGE_BYTES);
+	cr_assert_gt(len, 0);
+	cr_assert_eq(keeper_message_read(bytes, len, &back), 0);
+	cr_assert_eq(back.node, m.node);
+	cr_assert_eq(back.incarnation, m.incarnation);
+	cr_assert_eq(back.n_rows, m.n_rows);
+	cr_assert_eq(back.rows[7].account, UINT64_MAX - 7);
+	cr_assert_eq(back.rows[7].tokens, 7);
+	for (size_t cut = 0; cut < len; cut++)
+		cr_assert_lt(keeper_message_read(bytes, cut, &back), 0);
+	bytes[len] = 0;
+	cr_assert_lt(keeper_message_read(bytes, len + 1, &back), 0);
+	m.type = (enum keeper_message_type)9;
+	len = keeper_message_write(&m, bytes, KEEPER_MESSAGE_BYTES);
+	cr_assert_lt(keeper_message_read(bytes, len, &back), 0);
+}
