--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -19,6 +20,7 @@
 #define BEAT_MS 300
 #define SLOW_MS 400
 #define HANG_S 30
+#define HANG_POLL_MS 20
 
 static const char *target_addr, *report_addr, *target_id = "i-1", *service = "svc";
 static int slots = 8;
@@ -26,6 +28,8 @@
 static char runs[RUNS_MAX][ID_BYTES];
 static char last_head[HTTP_HEAD_BYTES];
 static size_t n_runs;
+/** Runs whose caller closed the connection. */
+static int n_left;
 /** State in the target's reports; empty to send none. */
 static char state[32] = "ready";
 
@@ -63,6 +67,22 @@
 	return a >= b && !strcmp(text + a - b, suffix);
 }
 
+/* Runs for long, and notes it if the caller closes the connection meanwhile. */
+static void hang(int fd)
+{
+	char byte;
+
+	for (int i = 0; i < HANG_S * 1000 / HANG_POLL_MS; i++) {
+		if (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+			pthread_mutex_lock(&lock);
+			n_left++;
+			pthread_mutex_unlock(&lock);
+			return;
+		}
+		sleep_ms(HANG_POLL_MS);
+	}
+}
+
 /* The last part of the path says how the target behaves. */
 static bool handle_target(int fd, const struct http_in *in)
 {
@@ -74,16 +94,20 @@
 		 target_id);
 	if (*expected && strcmp(expected, target_id) != 0)
 		return http_answer(fd, 421, "X-Instance-Id: other\r\n", "");
-	if (ends(in->target, "/shed"))
+	/* A target of another id than the first one refuses what the first one fails. */
+	if (ends(in->target, "/shed") ||
+	    (ends(in->target, "/error-or-shed") && strcmp(target_id, "i-1") != 0))
 		return http_answer(fd, 503, "X-Not-Executed: 1\r\n", "");
 	note_run(in, id);
 	if (ends(in->target, "/lost"))
 		return false;
-	if (ends(in->target, "/hang"))
-		sleep(HANG_S);
+	if (ends(in->target, "/hang")) {
+		hang(fd);
+		return false;
+	}
 	if (ends(in->target, "/slow"))
 		sleep_ms(SLOW_MS);
-	if (ends(in->target, "/error"))
+	if (ends(in->target, "/error") || ends(in->target, "/error-or-shed"))
 		return http_answer(fd, 500, fields, "failed");
 	if (ends(in->target, "/unsealed")) {
 		snprintf(fields, sizeof(fields), "X-Attempt-Id: %s\r\n", id);
@@ -146,6 +170,11 @@
 		snprintf(text, sizeof(text), "runs %d\n",
 			 count_runs(what[4] == '/' ? what + 5 : ""));
 		return http_answer(fd, 200, "", text);
+	} else if (!strcmp(what, "left")) {
+		pthread_mutex_lock(&lock);
+		snprintf(text, sizeof(text), "left %d\n", n_left);
+		pthread_mutex_unlock(&lock);
+		return http_answer(fd, 200, "", text);
 	} else if (!strcmp(what, "head")) {
 		pthread_mutex_lock(&lock);
 		snprintf(text, sizeof(text), "%s", last_head);
--- a/tests/scripts/command.c
+++ b/tests/scripts/command.c
@@ -21,7 +21,7 @@
 
 static uint64_t limit_end(const struct script_ctx *ctx, const char *limit_s)
 {
-	uint64_t end_us = clock_now_us() + strtoul(limit_s, NULL, 10) * BR_US_PER_S;
+	uint64_t end_us = clock_now_us() + (uint64_t)(strtod(limit_s, NULL) * BR_US_PER_S);
 
 	return end_us < ctx->script->end_us ? end_us : ctx->script->end_us;
 }
--- a/tests/unit/quota.c
+++ b/tests/unit/quota.c
@@ -20,6 +20,16 @@
 	br_quota_keeper_destroy(k);
 }
 
+/* Guards against tokens that are saved up without bound while an account is quiet. */
+Test(quota, keeper_saves_no_more_than_the_burst)
+{
+	struct br_quota_keeper *k = br_quota_keeper_create(SECOND);
+
+	cr_assert_eq(br_quota_keeper_hear(k, 1, 60 * SECOND), 0);
+	cr_assert_eq(br_quota_keeper_grant(k, 7, 20, 5, 100, 60 * SECOND), 5);
+	br_quota_keeper_destroy(k);
+}
+
 /* A new keeper does not know what the one before has granted, so it starts without a burst. */
 Test(quota, new_keeper_starts_empty)
 {
