Keep following a keeper whose changes are fetched

Cause: since a node stops following a keeper that it cannot fetch from, it also stopped while every fetch succeeded but the view had changed again by the next answer, as at a start; it then watched the store itself. Change: a fetch that succeeds begins the time anew.

--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -36,7 +36,7 @@
 	/** View that this node has taken. */
 	uint32_t incarnation, view_changes;
 	uint32_t own_incarnation;
-	/** Since when this node lacks something that the keeper has; 0 if it lacks nothing. */
+	/** Since when this node has lacked something and has fetched nothing; 0 if it lacks nothing. */
 	uint64_t lacks_since_us;
 };
 
@@ -110,12 +110,15 @@
 		(struct keeper_link *)((char *)call - offsetof(struct keeper_link, call));
 
 	(void)fate;
-	if (msg && msg->status == 200)
+	if (msg && msg->status == 200) {
 		take_answer(l, msg);
-	else
+		/* What the keeper has changes meanwhile; fetches that succeed keep up with it. */
+		l->lacks_since_us = 0;
+	} else {
 		EVENT(EVENT_WARNING, "keeper", "fetch_failed",
 		      EVENT_TEXT("what", l->fetches_view ? "view" : "config"),
 		      EVENT_NUMBER("status", msg ? msg->status : 0), EVENT_NUMBER("error", err));
+	}
 	http_msg_destroy(msg);
 }
 
