Leave a keeper that is out of touch with the store

The keeper went on answering, and nodes follow it until its confirmation is 2400 ms old and for 1000 ms after its last good answer, so that a node asked the store up to 2.5 s later.

Change: the keeper says whether it is in touch with the store (renewals of its lease and reads of the configuration succeed); a node stops following at once where it is not. The keeper renews its lease every 400 ms, and gives a renewal up after 400 ms, so that also a silent store shows within 0.8 s.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -59,6 +59,8 @@
 	 * so that they alone look for a store that is away.
 	 */
 	bool store_away;
+	/** The last read or watch of the configuration failed. */
+	bool watch_lost;
 	/** This node is the keeper. */
 	bool is_keeper;
 	/** The keeper's answers show until then what the store holds. */
--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -39,7 +39,7 @@
 	uint64_t probe_at_ms;
 	/** Latest of all changes that a read or watch has shown; 0 to read anew. */
 	uint64_t revision;
-	bool lost, calling, probing;
+	bool calling, probing;
 };
 
 bool config_keys_confirmed(const struct board *board, uint64_t now_us)
@@ -127,9 +127,9 @@
 static void note_lost(struct config_watch *w, const struct store_reply *r)
 {
 	back_off(w);
-	if (w->lost)
+	if (w->board->watch_lost)
 		return;
-	w->lost = true;
+	w->board->watch_lost = true;
 	EVENT(EVENT_WARNING, "config", "store_lost", EVENT_NUMBER("status", r->status),
 	      EVENT_NUMBER("version", w->board->config ? w->board->config->version : 0),
 	      EVENT_NUMBER("confirmed_ms_ago", config_confirmed_ms(w->board)));
@@ -138,9 +138,9 @@
 static void note_back(struct config_watch *w)
 {
 	w->retry_ms = RETRY_MIN_MS;
-	if (!w->lost)
+	if (!w->board->watch_lost)
 		return;
-	w->lost = false;
+	w->board->watch_lost = false;
 	EVENT(EVENT_INFO, "config", "store_back", EVENT_NUMBER("revision", w->revision));
 }
 
@@ -201,9 +201,10 @@
 	if (r->result == STORE_COMPACTED)
 		w->revision = 0;
 	else if (r->result != STORE_OK)
-		back_off(w);
+		note_lost(w, r);
 	if (r->result != STORE_OK)
 		return;
+	note_back(w);
 	take_items(w, r);
 	confirm_no_news(w, w->probe_sent_us);
 }
--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -146,8 +146,13 @@
 	bool view_differs =
 		l->incarnation != news->incarnation || l->view_changes != news->view_changes;
 
-	if (!l->config || news->confirmed_ms > CONFIRMED_MAX_MS)
+	if (!l->config)
 		return;
+	if (!news->in_touch || news->confirmed_ms > CONFIRMED_MAX_MS) {
+		/* The store is asked at once: it may already hold what the keeper cannot know. */
+		l->board->follow_until_us = 0;
+		return;
+	}
 	set_addr(l, &news->addr);
 	if (news->version <= version && !view_differs) {
 		l->lacks_since_us = 0;
--- a/mesh/keeper_link.h
+++ b/mesh/keeper_link.h
@@ -22,6 +22,8 @@
 	uint64_t version;
 	/** Time since the keeper knew of no newer configuration, from when it was asked. */
 	uint64_t confirmed_ms;
+	/** The keeper knows of no trouble on its way to the store. */
+	bool in_touch;
 	/** Incarnation of the keeper, and its count of changes of the view. */
 	uint32_t incarnation, view_changes;
 };
--- a/mesh/keeper_message.c
+++ b/mesh/keeper_message.c
@@ -2,18 +2,18 @@
 
 #include <errno.h>
 #include <msgpack.h>
-#include <stdbool.h>
 #include <string.h>
 
 /* Changes when older nodes could not read a message. */
-#define PROTOCOL 1
+#define PROTOCOL 2
 /* Numbers before the rows. */
-#define HEAD 8
+#define HEAD 9
 
 size_t keeper_message_write(const struct keeper_message *m, char *out, size_t out_bytes)
 {
-	const uint64_t head[HEAD] = {PROTOCOL,	 m->type,	  m->node,	  m->asked_us,
-				     m->version, m->confirmed_ms, m->incarnation, m->view_changes};
+	const uint64_t head[HEAD] = {PROTOCOL,	  m->type,	  m->node,
+				     m->asked_us, m->version,	  m->confirmed_ms,
+				     m->in_touch, m->incarnation, m->view_changes};
 	msgpack_sbuffer buf;
 	msgpack_packer pk;
 	size_t len;
@@ -36,7 +36,7 @@
 static bool read_numbers(const msgpack_object *o, uint64_t *out, uint32_t *n)
 {
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < HEAD ||
-	    o->via.array.size > HEAD + 2 * KEEPER_ROWS_MAX || o->via.array.size % 2)
+	    o->via.array.size > HEAD + 2 * KEEPER_ROWS_MAX || (o->via.array.size - HEAD) % 2)
 		return false;
 	*n = o->via.array.size;
 	for (uint32_t i = 0; i < *n; i++) {
@@ -67,8 +67,9 @@
 		.asked_us = v[3],
 		.version = v[4],
 		.confirmed_ms = v[5],
-		.incarnation = (uint32_t)v[6],
-		.view_changes = (uint32_t)v[7],
+		.in_touch = v[6] != 0,
+		.incarnation = (uint32_t)v[7],
+		.view_changes = (uint32_t)v[8],
 		.n_rows = (n - HEAD) / 2,
 	};
 	for (uint32_t i = 0; i < out->n_rows; i++) {
--- a/mesh/keeper_message.h
+++ b/mesh/keeper_message.h
@@ -5,6 +5,7 @@
 #ifndef MESH_KEEPER_MESSAGE_H
 #define MESH_KEEPER_MESSAGE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -32,6 +33,8 @@
 	uint64_t node, asked_us;
 	/** Configuration in force at the sender, and how long ago it knew of no newer one. */
 	uint64_t version, confirmed_ms;
+	/** The sender knows of no trouble on its way to the store. */
+	bool in_touch;
 	/** Incarnation of the sender, and its count of changes of the view. */
 	uint32_t incarnation, view_changes;
 	uint32_t n_rows;
--- a/mesh/presence.c
+++ b/mesh/presence.c
@@ -15,6 +15,9 @@
 /* Two renewals may fail before a lease ends. */
 #define KEEP_MS 1000
 #define KEEP_TIMEOUT_MS 600
+/* The others follow the keeper, which must notice early that the store does not answer it. */
+#define KEEPER_KEEP_MS 400
+#define KEEPER_KEEP_TIMEOUT_MS 400
 #define RETRY_MS 400
 /* The first entry waits this long for the first report of the target, which saves a write. */
 #define FIRST_REPORT_MS 2500
@@ -94,7 +97,9 @@
 	}
 	if (r->result == STORE_OK)
 		p->renewed(p->ctx, p->lease, p->sent_us + LEASE_MS * BR_US_PER_MS);
-	arm_keep(p, r->result == STORE_OK ? KEEP_MS : RETRY_MS);
+	arm_keep(p, r->result != STORE_OK ? RETRY_MS
+		    : p->board->is_keeper ? KEEPER_KEEP_MS
+					  : KEEP_MS);
 }
 
 static void on_keep_timer(void *arg)
@@ -108,7 +113,8 @@
 	}
 	p->leasing = true;
 	p->sent_us = clock_now_us();
-	store_keep(p->board->store, p->lease, KEEP_TIMEOUT_MS, on_keep, p);
+	store_keep(p->board->store, p->lease,
+		   p->board->is_keeper ? KEEPER_KEEP_TIMEOUT_MS : KEEP_TIMEOUT_MS, on_keep, p);
 }
 
 static void on_put_timer(void *arg)
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -126,6 +126,7 @@
 {
 	m->version = q->board->config ? q->board->config->version : 0;
 	m->confirmed_ms = config_confirmed_ms(q->board);
+	m->in_touch = !q->board->store_away && !q->board->watch_lost;
 	m->incarnation = keeper_link_incarnation(q->link);
 	m->view_changes = q->board->view_changes;
 }
@@ -175,6 +176,7 @@
 		.addr = q->keeper_addr,
 		.version = in->version,
 		.confirmed_ms = in->confirmed_ms,
+		.in_touch = in->in_touch,
 		.incarnation = in->incarnation,
 		.view_changes = in->view_changes,
 	};
--- a/tests/unit/mesh_keeper.c
+++ b/tests/unit/mesh_keeper.c
@@ -46,6 +46,7 @@
 					   .sin_port = htons(CLOSED_PORT),
 					   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	w.news.version = 5;
+	w.news.in_touch = true;
 	w.news.incarnation = 1;
 	w.until_us = clock_now_us() + RUN_MS * BR_US_PER_MS;
 	timer = timer_repeat(w.board.loop, NEWS_MS, on_news, &w);
@@ -55,3 +56,30 @@
 	keeper_link_destroy(w.link);
 	uv_run(w.board.loop, UV_RUN_DEFAULT);
 }
+
+/*
+ * Guards against an old configuration: a keeper that the store no longer answers cannot know of a
+ * newer one.
+ */
+Test(mesh_keeper, is_not_followed_out_of_touch)
+{
+	struct world w = {0};
+	struct config_watch *config = (struct config_watch *)&w;
+	struct view_watch *view = (struct view_watch *)&w;
+
+	w.board.loop = uv_default_loop();
+	br_rng_seed(&w.board.rng, 1);
+	w.link = keeper_link_create(&w.board);
+	keeper_link_connect(w.link, config, view);
+	w.news.addr = (struct sockaddr_in){.sin_family = AF_INET,
+					   .sin_port = htons(CLOSED_PORT),
+					   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	w.news.in_touch = true;
+	keeper_link_news(w.link, &w.news);
+	cr_assert(board_follows_keeper(&w.board, clock_now_us()));
+	w.news.in_touch = false;
+	keeper_link_news(w.link, &w.news);
+	cr_assert_not(board_follows_keeper(&w.board, clock_now_us()));
+	keeper_link_destroy(w.link);
+	uv_run(w.board.loop, UV_RUN_DEFAULT);
+}
--- a/tests/unit/mesh_model.c
+++ b/tests/unit/mesh_model.c
@@ -216,6 +216,7 @@
 				   .asked_us = 1,
 				   .version = 2,
 				   .confirmed_ms = 3,
+				   .in_touch = true,
 				   .incarnation = UINT32_MAX,
 				   .view_changes = 5,
 				   .n_rows = KEEPER_ROWS_MAX};
@@ -229,6 +230,7 @@
 	cr_assert_gt(len, 0);
 	cr_assert_eq(keeper_message_read(bytes, len, &back), 0);
 	cr_assert_eq(back.node, m.node);
+	cr_assert(back.in_touch);
 	cr_assert_eq(back.incarnation, m.incarnation);
 	cr_assert_eq(back.n_rows, m.n_rows);
 	cr_assert_eq(back.rows[7].account, UINT64_MAX - 7);
