Refuse all calls of a request under overload, or none

Change: a request draws a place within its priority, which goes with all calls made for it. The place decides about the sublevel beyond the fair share, and about what of the threshold's own level passes: the threshold is continuous now instead of in steps of a whole level.

--- a/include/briarreel/admission.h
+++ b/include/briarreel/admission.h
@@ -9,6 +9,10 @@
  *
  * A level is priority * 16 + sublevel, 0 being the most important. The sublevel is 0 for the part
  * of an account's requests that is within its fair share and grows for the part beyond it.
+ *
+ * A request that makes calls is lost if one of them is refused. The calls made for one request have
+ * its place, which decides about the sublevel and about what of the threshold's own level passes,
+ * so that overload refuses all calls of a request or none.
  */
 #ifndef BRIARREEL_ADMISSION_H
 #define BRIARREEL_ADMISSION_H
@@ -16,6 +20,7 @@
 #include "briarreel/types.h"
 
 #define BR_SUBLEVELS 16
+#define BR_PLACE_MAX UINT16_MAX
 /** Number of levels; the threshold lies in [BR_THRESHOLD_MIN, BR_THRESHOLD_MAX]. */
 #define BR_LEVELS (BR_PRIORITIES * BR_SUBLEVELS)
 /** All of priority 0 passes at this threshold. */
@@ -69,6 +74,11 @@
 	uint64_t deadline_us;
 	/** Set by the caller: 0 to BR_PRIORITIES - 1; larger values count as the last one. */
 	uint8_t priority;
+	/**
+	 * Set by the caller: place among the requests of its priority, evenly distributed over 1 to
+	 * BR_PLACE_MAX, the same for a request and the calls made for it. 0: the module chooses one.
+	 */
+	uint16_t place;
 
 	/** Set by the module: level at arrival, and why the entry was refused or dropped. */
 	uint8_t level;
--- a/lib/admission.c
+++ b/lib/admission.c
@@ -2,6 +2,7 @@
 
 #include "admission_internal.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #define ACCOUNTS_DEFAULT 256
@@ -11,9 +12,11 @@
  */
 #define OVERLOAD_DELAY_US (5 * BR_US_PER_MS)
 #define OVERLOAD_DELAY_MAX_US (20 * BR_US_PER_MS)
+/* Odd, so that places stay apart. */
+#define PLACE_MIX 40503U
 /* Parts of the admitted arrivals by which the threshold goes down or up per window. */
 #define THRESHOLD_DOWN 0.05
-#define THRESHOLD_UP 0.01
+#define THRESHOLD_UP 0.02
 /* Part by which the queue shortens in a window in which the threshold is left alone. */
 #define DRAINS 0.1
 /* Levels per window; from the lowest threshold to the highest takes 1.4 s. */
@@ -34,7 +37,7 @@
 	if (!a->cfg.accounts_max)
 		a->cfg.accounts_max = ACCOUNTS_DEFAULT;
 	a->limit = cfg->limit;
-	a->threshold = BR_THRESHOLD_MAX;
+	a->cut = BR_LEVELS;
 	a->min_delay_us = UINT64_MAX;
 	a->heap = calloc(cfg->queue_max, sizeof(struct br_admission_entry *));
 	if (!a->heap || br_accounts_init(&a->accounts, a->cfg.accounts_max)) {
@@ -80,31 +83,55 @@
 	return BR_ADMISSION_REFUSED;
 }
 
-/*
- * Lowers by 5% of what is admitted per window. A level that carries more is refused only after as
- * many more windows of overload, so that one window does not refuse a whole priority.
- */
-static void lower_threshold(struct br_admission *a, double admitted)
+/* Part of a level that passes. */
+static double passing_part(const struct br_admission *a, uint32_t level)
 {
-	a->to_refuse += admitted * THRESHOLD_DOWN;
-	while (a->threshold > BR_THRESHOLD_MIN && a->arrivals[a->threshold] <= a->to_refuse)
-		a->to_refuse -= a->arrivals[a->threshold--];
-	if (a->to_refuse > admitted)
-		a->to_refuse = admitted;
+	double part = a->cut - level;
+
+	if (part <= 0)
+		return 0;
+	return part < 1 ? part : 1;
+}
+
+static void lower_cut(struct br_admission *a, double refuse)
+{
+	while (a->cut > BR_THRESHOLD_MIN + 1) {
+		uint32_t level = (uint32_t)ceil(a->cut) - 1;
+		double passing = a->arrivals[level] * (a->cut - level);
+
+		if (passing > refuse) {
+			a->cut -= refuse / a->arrivals[level];
+			return;
+		}
+		refuse -= passing;
+		a->cut = level;
+	}
 }
 
-static void raise_threshold(struct br_admission *a, double admitted)
+static void raise_cut(struct br_admission *a, double admit)
 {
-	double more = admitted * THRESHOLD_UP;
+	for (int i = 0; i < THRESHOLD_STEP && a->cut < BR_LEVELS; i++) {
+		uint32_t level = (uint32_t)a->cut;
+		double refused = a->arrivals[level] * (level + 1 - a->cut);
 
-	a->to_refuse = 0;
-	for (int i = 0; i < THRESHOLD_STEP && a->threshold < BR_THRESHOLD_MAX; i++) {
-		more -= a->arrivals[++a->threshold];
-		if (more < 0)
-			break;
+		if (refused > admit) {
+			a->cut += admit / a->arrivals[level];
+			return;
+		}
+		admit -= refused;
+		a->cut = level + 1;
 	}
 }
 
+/* True if the request's place within its level is in the part that passes. */
+static bool passes(const struct br_admission *a, const struct br_admission_entry *e)
+{
+	/* The place has decided about the sublevel, so that its order is mixed anew. */
+	uint16_t place = (uint16_t)(e->place * PLACE_MIX);
+
+	return place < passing_part(a, e->level) * ((double)BR_PLACE_MAX + 1);
+}
+
 /*
  * While the queue shortens, the threshold is low enough: what is left of the delay is a backlog. To
  * lower it further would refuse what the slots need once the backlog is gone. Arrivals that entry
@@ -123,15 +150,15 @@
 	bool drains = queue_drains(a);
 	double admitted = 0;
 
-	for (uint32_t i = 0; i <= a->threshold; i++)
-		admitted += a->arrivals[i];
+	for (uint32_t i = 0; i < BR_LEVELS; i++)
+		admitted += a->arrivals[i] * passing_part(a, i);
 	if (a->overloaded && drains)
 		return;
 	if (a->overloaded)
-		lower_threshold(a, admitted);
+		lower_cut(a, admitted * THRESHOLD_DOWN);
 	else
-		raise_threshold(a, admitted);
-	BR_INVARIANT(a->threshold >= BR_THRESHOLD_MIN && a->threshold <= BR_THRESHOLD_MAX);
+		raise_cut(a, admitted * THRESHOLD_UP);
+	BR_INVARIANT(a->cut >= BR_THRESHOLD_MIN + 1 && a->cut <= BR_LEVELS);
 }
 
 /* The delay is the age of the oldest entry: the order of service does not change it. */
@@ -232,7 +259,7 @@
 {
 	struct br_admission_entry *victim;
 
-	if (e->level > a->threshold)
+	if (!passes(a, e))
 		return refuse(a, e, BR_ADMISSION_THRESHOLD);
 	if (now_us + estimated_wait_us(a, e) + needed_us(a, e->owner) >= e->deadline_us)
 		return refuse(a, e, BR_ADMISSION_LATE);
@@ -273,8 +300,10 @@
 	e->owner->refs++;
 	asked = e->owner->service_us > 0 ? e->owner->service_us : a->service_us;
 	e->owner->demand += asked;
+	if (!e->place)
+		e->place = br_accounts_next_place(e->owner);
 	e->level = (uint8_t)(e->priority * BR_SUBLEVELS +
-			     br_accounts_sublevel(&a->accounts, e->owner));
+			     br_accounts_sublevel(&a->accounts, e->owner, e->place));
 	a->arrivals[e->level]++;
 
 	if (e->deadline_us <= now_us)
@@ -360,7 +389,7 @@
 
 uint32_t br_admission_threshold(const struct br_admission *a)
 {
-	return a->threshold;
+	return (uint32_t)ceil(a->cut) - 1;
 }
 
 bool br_admission_overloaded(const struct br_admission *a)
--- a/lib/admission_internal.h
+++ b/lib/admission_internal.h
@@ -61,9 +61,8 @@
 	/** Length of the queue at the end of the window before. */
 	uint32_t window_queued;
 	bool overloaded;
-	uint32_t threshold;
-	/** Admitted arrivals per window that are still to be refused. */
-	double to_refuse;
+	/** Levels that pass; of the last one, a part passes by its place. */
+	double cut;
 	uint32_t arrivals[BR_LEVELS];
 	struct br_admission_counters counters;
 };
@@ -98,9 +97,12 @@
 /** Finds or adds the state of an account; the shared state if there is no room. */
 struct br_admission_account *br_accounts_get(struct br_admission_accounts *s, uint64_t key);
 
-/** Sublevel of an account's next request. */
+/** Sublevel of an account's request with that place. */
 uint32_t br_accounts_sublevel(const struct br_admission_accounts *s,
-			      struct br_admission_account *acct);
+			      const struct br_admission_account *acct, uint16_t place);
+
+/** Place for a request of an account whose caller has chosen none. */
+uint16_t br_accounts_next_place(struct br_admission_account *acct);
 
 /** Adds to the work given to an account; negative to correct an estimate. */
 void br_accounts_add_work(struct br_admission_accounts *s, struct br_admission_account *acct,
--- a/lib/admission_queue.c
+++ b/lib/admission_queue.c
@@ -123,7 +123,8 @@
 bool br_queue_newest_first(const struct br_admission *a, int priority)
 {
 	if (a->cfg.order == BR_ORDER_ADAPTIVE)
-		return a->overloaded && (uint32_t)priority >= a->threshold / BR_SUBLEVELS;
+		return a->overloaded &&
+		       (uint32_t)priority >= br_admission_threshold(a) / BR_SUBLEVELS;
 	return a->cfg.order == BR_ORDER_NEWEST;
 }
 
--- a/lib/admission_share.c
+++ b/lib/admission_share.c
@@ -70,16 +70,20 @@
 	s->used[index] = s->used[--s->n_used];
 }
 
+uint16_t br_accounts_next_place(struct br_admission_account *acct)
+{
+	/* A golden-ratio sequence spreads the requests evenly over the account's demand. */
+	return (uint16_t)((acct->sequence++ * 2654435769U) >> 16);
+}
+
 uint32_t br_accounts_sublevel(const struct br_admission_accounts *s,
-			      struct br_admission_account *acct)
+			      const struct br_admission_account *acct, uint16_t place)
 {
 	double excess, ratio = acct->demand / s->fair_share;
-	/* A golden-ratio sequence spreads the requests evenly over the account's demand. */
-	double place = (double)(acct->sequence++ * 2654435769U) / 4294967296.0;
 
 	if (ratio <= 1)
 		return 0;
-	excess = place * ratio - 1;
+	excess = (double)place / ((double)BR_PLACE_MAX + 1) * ratio - 1;
 	if (excess <= 0)
 		return 0;
 	excess = 1 + excess * SUBLEVELS_PER_SHARE;
--- a/mesh/job.h
+++ b/mesh/job.h
@@ -66,6 +66,8 @@
 	uint64_t deadline_us, queue_until_us;
 	/** Rank of the caller's request behind this one, 0 being the most important. */
 	uint8_t rank;
+	/** Place of that request in admission queues. */
+	uint16_t place;
 	bool idempotent;
 	/** The request is a call of a target, made for another request. */
 	bool is_call;
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -276,6 +276,7 @@
 		.deadline_us = now_us + pc->head.left_ms * BR_US_PER_MS,
 		.queue_until_us = now_us + pc->head.queue_ms * BR_US_PER_MS,
 		.rank = pc->head.rank,
+		.place = pc->head.place,
 		.idempotent = pc->head.idempotent,
 		.is_call = pc->head.is_call,
 		.done = on_job_done,
--- a/mesh/peer_format.c
+++ b/mesh/peer_format.c
@@ -28,25 +28,27 @@
 {
 	buf_printf(b,
 		   PEER_JOB_FIELD ": %" PRIu64 " %" PRIu64 " %" PRIu64 " %" PRIx64 " %" PRIx64
-				  " %u %u %u %s %s %s\r\n",
+				  " %u %u %u %u %s %s %s\r\n",
 		   left_ms(job->deadline_us, now_us), left_ms(job->queue_until_us, now_us), version,
-		   job->account_hash, job->route_hash, job->rank, job->idempotent, job->is_call,
-		   text_or_none(job->target), text_or_none(job->account),
+		   job->account_hash, job->route_hash, job->rank, job->place, job->idempotent,
+		   job->is_call, text_or_none(job->target), text_or_none(job->account),
 		   text_or_none(job->caller_service));
 }
 
 int peer_read_job(const char *text, struct peer_job *out)
 {
-	unsigned int rank, idempotent, is_call;
+	unsigned int rank, place, idempotent, is_call;
 
 	if (sscanf(text,
 		   "%" SCNu64 " %" SCNu64 " %" SCNu64 " %" SCNx64 " %" SCNx64
-		   " %u %u %u %63s %63s %63s",
+		   " %u %u %u %u %63s %63s %63s",
 		   &out->left_ms, &out->queue_ms, &out->version, &out->account_hash,
-		   &out->route_hash, &rank, &idempotent, &is_call, out->target, out->account,
-		   out->caller_service) != 11)
+		   &out->route_hash, &rank, &place, &idempotent, &is_call, out->target,
+		   out->account, out->caller_service) != 12 ||
+	    place > UINT16_MAX)
 		return -EINVAL;
 	out->rank = (uint8_t)(rank < MESH_RANKS ? rank : MESH_RANKS - 1);
+	out->place = (uint16_t)place;
 	out->is_call = is_call != 0;
 	out->idempotent = idempotent != 0;
 	none_to_empty(out->target);
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -53,6 +53,7 @@
 	struct job job;
 	bool job_active, is_call;
 	uint8_t rank;
+	uint16_t place;
 	uint64_t account_hash, route_hash;
 	/** Start of the try under way. */
 	uint64_t sent_us;
@@ -366,6 +367,7 @@
 		.deadline_us = r->deadline_us,
 		.queue_until_us = r->queue_until_us,
 		.rank = r->rank,
+		.place = r->place,
 		.is_call = r->is_call,
 		.idempotent = r->route->idempotent,
 		.done = on_job_done,
@@ -496,13 +498,16 @@
 	if (!caller)
 		return;
 	r->rank = caller->rank;
+	r->place = caller->place;
 	r->account_hash = caller->account_hash;
 }
 
 static void set_rank(struct request *r)
 {
-	if (!r->is_call)
+	if (!r->is_call) {
 		r->rank = mesh_config_rank(r->config, r->route, r->account);
+		r->place = (uint16_t)(1 + br_rng_below(&r->board->rng, BR_PLACE_MAX));
+	}
 	if (r->account)
 		r->account_hash = r->account->name_hash;
 }
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -347,6 +347,7 @@
 		.account = job->account_hash,
 		.deadline_us = job->queue_until_us,
 		.priority = queue_priority(job),
+		.place = job->place,
 	};
 	job->call_failed = false;
 	if (closed != JOB_REASON_NONE) {
--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -340,3 +340,116 @@
 	for (int r = 0; r < BR_ADMISSION_REASONS; r++)
 		cr_assert_str_neq(br_admission_reason_text((enum br_admission_reason)r), "unknown");
 }
+
+/* Requests that make calls one after the other, at twice what the target can do. */
+#define TREE_CALLS 5
+#define TREES 2000
+#define TREE_SLOTS 4
+#define CALL_US (10 * BR_US_PER_MS)
+#define TREE_GAP_US (TREE_CALLS * CALL_US / TREE_SLOTS / 2)
+
+struct tree {
+	struct br_admission_entry e;
+	uint16_t place;
+	int calls;
+	uint64_t ends_us;
+	bool running, lost;
+};
+
+static struct tree trees[TREES];
+
+static void on_tree_drop(void *ctx, struct br_admission_entry *e, enum br_admission_reason reason)
+{
+	struct tree *t = e->data;
+
+	(void)ctx;
+	(void)reason;
+	t->lost = true;
+}
+
+static void begin_call(struct tree *t, uint64_t now_us)
+{
+	t->running = true;
+	t->ends_us = now_us + CALL_US;
+}
+
+static void offer_call(struct br_admission *a, struct tree *t, uint64_t now_us)
+{
+	t->e = (struct br_admission_entry){.data = t,
+					   .account = 1,
+					   .priority = 3,
+					   .place = t->place,
+					   .deadline_us = now_us + 300 * BR_US_PER_MS};
+	switch (br_admission_offer(a, &t->e, now_us)) {
+	case BR_ADMISSION_RUN:
+		begin_call(t, now_us);
+		break;
+	case BR_ADMISSION_QUEUED:
+		break;
+	case BR_ADMISSION_REFUSED:
+		t->lost = true;
+		break;
+	}
+}
+
+static void end_calls(struct br_admission *a, int n, uint64_t now_us)
+{
+	struct br_admission_entry *e;
+
+	for (int i = 0; i < n; i++) {
+		struct tree *t = &trees[i];
+
+		if (!t->running || t->ends_us > now_us)
+			continue;
+		t->running = false;
+		t->calls++;
+		br_admission_done(a, &t->e, CALL_US, now_us);
+		if (t->calls < TREE_CALLS)
+			offer_call(a, t, now_us);
+	}
+	while ((e = br_admission_next(a, now_us)) != NULL)
+		begin_call(e->data, now_us);
+}
+
+/* Part of the trees that the target could do, whose calls have all run. */
+static double whole_trees(bool same_place)
+{
+	struct br_admission_cfg cfg = {.limit = TREE_SLOTS, .queue_max = 512, .drop = on_tree_drop};
+	struct br_admission *a = br_admission_create(&cfg);
+	struct br_rng rng;
+	uint64_t now_us = NOW;
+	int n = 0, whole = 0;
+
+	br_rng_seed(&rng, 7);
+	memset(trees, 0, sizeof(trees));
+	for (; now_us < NOW + (uint64_t)TREES * TREE_GAP_US; now_us += BR_US_PER_MS) {
+		end_calls(a, n, now_us);
+		br_admission_tick(a, now_us);
+		while (n < TREES && NOW + (uint64_t)n * TREE_GAP_US <= now_us) {
+			trees[n].place =
+				same_place ? (uint16_t)(1 + br_rng_below(&rng, BR_PLACE_MAX)) : 0;
+			offer_call(a, &trees[n++], now_us);
+		}
+	}
+	for (int i = 0; i < n; i++) {
+		whole += trees[i].calls == TREE_CALLS;
+		if (trees[i].running)
+			br_admission_done(a, &trees[i].e, CALL_US, now_us);
+	}
+	br_admission_drop_all(a);
+	br_admission_destroy(a);
+	return whole / (TREES / 2.0);
+}
+
+/*
+ * Guards against overload that refuses one call of most requests: what their other calls cost is
+ * then lost. The goal for goodput under overload is 0.9 of capacity.
+ */
+Test(admission, refuses_all_calls_of_a_request_or_none)
+{
+	double apart = whole_trees(false), together = whole_trees(true);
+
+	cr_log_info("whole requests: %.3f of capacity, %.3f with places apart", together, apart);
+	cr_assert_geq(together, 0.9, "%.3f of capacity", together);
+	cr_assert_lt(apart, together);
+}
