Avoid targets for the part of their requests that failed lately

Cause: a target that refuses or fails part of its requests while its health is good kept its share of them: it was left out only after 20 errors in a row, and refusals by the target itself were no errors at all. A request with several calls to such a service fails at one of them.

Change: the balancer keeps the part of each target's requests that failed lately (own errors, refusals by the target itself, no whole answer; not refusals of its node's queue, nor answers that failed for a call) and charges it to the target's expected time. Answers that failed for a call no longer count towards ejecting the target either.

Test: unit test fast_pick_avoids_a_target_that_fails.

--- a/include/briarreel/balance.h
+++ b/include/briarreel/balance.h
@@ -82,6 +82,14 @@
 void br_balance_note_time(struct br_balance *b, const struct br_node_id *id, uint64_t class,
 			  uint64_t time_us, uint64_t now_us);
 
+/**
+ * Notes whether a request that reached a target failed there: an error that is the target's own, a
+ * refusal by the target itself, or no whole answer. Requests avoid a target for the part of its
+ * requests that failed lately, as long as the class has another one.
+ */
+void br_balance_note_result(struct br_balance *b, const struct br_node_id *id, bool failed,
+			    uint64_t now_us);
+
 /** Notes that a request was sent. Returns 0, or -ENOMEM; then no end may be noted. */
 int br_balance_note_start(struct br_balance *b, const struct br_node_id *id, uint64_t now_us);
 
--- a/lib/balance.c
+++ b/lib/balance.c
@@ -36,6 +36,14 @@
 #define LOAD_SLOWDOWN 1.5
 /* A full target makes requests wait: cost of each further limit's worth of requests. */
 #define LOAD_QUEUE 2.0
+/* Weight of a result in the part of requests that fail at a target. */
+#define FAILED_WEIGHT 0.08
+/* What is known of a target's failures counts half after this time without a result. */
+#define FAILED_HALF_US (2.0 * BR_US_PER_S)
+/* Single failures say nothing; above this part a target is avoided. */
+#define FAILED_FREE 0.1
+/* Charge for a request that would surely fail, in objectives: more than a wait of some of them. */
+#define FAILED_CHARGE 4.0
 /* Charge for another zone, as a part of the objective: bytes between zones cost. */
 #define ZONE_CHARGE 0.2
 
@@ -55,6 +63,9 @@
 	/** Times relative to those of all targets, as of timed_us; 0 if unknown. */
 	double slowness;
 	uint64_t timed_us;
+	/** Part of the requests that failed lately, as of failed_us. */
+	double failed;
+	uint64_t failed_us;
 };
 
 struct br_balance {
@@ -286,6 +297,23 @@
 	return 1 + (p->slowness - 1) * SLOWNESS_HALF_US / (SLOWNESS_HALF_US + age_us);
 }
 
+static double failed_part(const struct peer *p, uint64_t now_us)
+{
+	double age_us;
+
+	if (!p || p->failed <= 0)
+		return 0;
+	age_us = now_us > p->failed_us ? (double)(now_us - p->failed_us) : 0;
+	return p->failed * FAILED_HALF_US / (FAILED_HALF_US + age_us);
+}
+
+static double failed_charge(const struct peer *p, uint64_t now_us)
+{
+	double part = failed_part(p, now_us);
+
+	return part > FAILED_FREE ? (part - FAILED_FREE) * FAILED_CHARGE : 0;
+}
+
 static double load_factor(double load)
 {
 	if (load <= LOAD_FREE)
@@ -299,6 +327,7 @@
 static double cost_of(const struct br_balance *b, const struct br_balance_candidate *c,
 		      const struct br_balance_want *want, const struct view *v, uint64_t now_us)
 {
+	const struct peer *p = find(b, &c->id);
 	double usual_us = b->class_us[want->class % CLASSES];
 	double objective_us = want->objective_us ? (double)want->objective_us : BR_US_PER_S;
 	double time_us;
@@ -306,9 +335,9 @@
 	/* Without a sample a tenth of the objective makes the factors comparable. */
 	if (usual_us <= 0)
 		usual_us = objective_us / 10;
-	time_us = usual_us * slowness_of(find(b, &c->id), now_us) *
-		  load_factor(v->load_n / v->limit) * (c->cold ? COLD_SLOWNESS : 1);
-	return time_us / objective_us + (v->local ? 0 : ZONE_CHARGE);
+	time_us = usual_us * slowness_of(p, now_us) * load_factor(v->load_n / v->limit) *
+		  (c->cold ? COLD_SLOWNESS : 1);
+	return time_us / objective_us + (v->local ? 0 : ZONE_CHARGE) + failed_charge(p, now_us);
 }
 
 /* Draws one of the own zone's targets and one of the others', or two if all are of one kind. */
@@ -378,6 +407,19 @@
 	p->timed_us = now_us;
 }
 
+void br_balance_note_result(struct br_balance *b, const struct br_node_id *id, bool failed,
+			    uint64_t now_us)
+{
+	struct peer *p = find(b, id);
+	double part;
+
+	if (!p)
+		return;
+	part = failed_part(p, now_us);
+	p->failed = part + ((failed ? 1 : 0) - part) * FAILED_WEIGHT;
+	p->failed_us = now_us;
+}
+
 int br_balance_note_start(struct br_balance *b, const struct br_node_id *id, uint64_t now_us)
 {
 	struct peer *p = add(b, id);
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -59,7 +59,10 @@
 {
 	switch (end->result) {
 	case JOB_ANSWERED:
-		return answer->status >= 500 ? BR_BALANCE_ERROR : BR_BALANCE_OK;
+		if (answer->status < 500)
+			return BR_BALANCE_OK;
+		/* A failed call says nothing of the target that made it. */
+		return end->call_failed ? BR_BALANCE_CANCELLED : BR_BALANCE_ERROR;
 	case JOB_NOT_RUN:
 		return BR_BALANCE_REFUSED;
 	case JOB_LOST:
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -253,6 +253,30 @@
 				     now_us - r->sent_us, now_us);
 }
 
+/* What the balancer learns of the target itself: neither its node's queue nor its calls count. */
+static void note_result(struct request *r, const struct job_end *end)
+{
+	bool failed;
+
+	switch (end->result) {
+	case JOB_ANSWERED:
+		failed = end->answer->status >= 500 && !end->call_failed;
+		break;
+	case JOB_NOT_RUN:
+		if (end->reason != JOB_REASON_SHED)
+			return;
+		failed = true;
+		break;
+	case JOB_LOST:
+		failed = true;
+		break;
+	default:
+		return;
+	}
+	br_balance_note_result(r->board->balance, &r->tried[r->n_tried - 1], failed,
+			       clock_now_us());
+}
+
 static void on_job_done(struct job *job, const struct job_end *end)
 {
 	struct request *r = (struct request *)((char *)job - offsetof(struct request, job));
@@ -262,6 +286,7 @@
 	r->last_reason = end->reason;
 	if (end->reached)
 		r->reached++;
+	note_result(r, end);
 	switch (end->result) {
 	case JOB_ANSWERED:
 		note_time(r, answer);
--- a/tests/unit/balance.c
+++ b/tests/unit/balance.c
@@ -253,3 +253,45 @@
 		br_balance_note_end(b, &c[k].id, BR_BALANCE_OK, BR_US_PER_S);
 	br_balance_destroy(b);
 }
+
+/*
+ * Guards against a target that refuses or fails part of its requests while it looks idle: it must not
+ * get its share of them, and must be found again once it is well.
+ */
+Test(balance, fast_pick_avoids_a_target_that_fails)
+{
+	struct br_balance *b = br_balance_create(0);
+	struct br_balance_candidate c[2] = {{.id = {"a"}, .zone = "z1"},
+					    {.id = {"b"}, .zone = "z1"}};
+	struct br_balance_want want = {
+		.zone = "z1", .class = 1, .objective_us = 200 * BR_US_PER_MS};
+	struct br_rng rng;
+	uint64_t now = BR_US_PER_S;
+	int failures = 0, first = 0;
+
+	br_rng_seed(&rng, 1);
+	for (int i = 0; i < 1000; i++) {
+		int k = br_balance_pick_fast(b, c, 2, &want, NULL, 0, &rng, now);
+		bool failed = k == 0 && br_rng_below(&rng, 2);
+
+		cr_assert_eq(br_balance_note_start(b, &c[k].id, now), 0);
+		br_balance_note_time(b, &c[k].id, want.class, 60 * BR_US_PER_MS, now);
+		br_balance_note_end(b, &c[k].id, BR_BALANCE_REFUSED, now);
+		br_balance_note_result(b, &c[k].id, failed, now);
+		failures += failed;
+		now += 10 * BR_US_PER_MS;
+	}
+	cr_assert_leq(failures, 50, "%d of 1000 requests failed", failures);
+	now += 30 * BR_US_PER_S;
+	for (int i = 0; i < 200; i++) {
+		int k = br_balance_pick_fast(b, c, 2, &want, NULL, 0, &rng, now);
+
+		cr_assert_eq(br_balance_note_start(b, &c[k].id, now), 0);
+		br_balance_note_end(b, &c[k].id, BR_BALANCE_OK, now);
+		br_balance_note_result(b, &c[k].id, false, now);
+		first += k == 0;
+		now += 10 * BR_US_PER_MS;
+	}
+	cr_assert_geq(first, 60, "%d of 200 requests after it was well again", first);
+	br_balance_destroy(b);
+}
