Answer 502 where a request may have run at one target and others refuse it

Cause: after a lost answer an idempotent request goes to another target; if that one refused it, the caller got 503, which says that the request has not run. It may have run at the first target.

Change: a request remembers that a try may have run; what follows is then a failure and no refusal.

Test: script node-control, a target that runs and loses the answer beside one that refuses: 8 of 8 answers were 503, now 502.

--- a/mesh/request.c
+++ b/mesh/request.c
@@ -60,6 +60,8 @@
 	char target[BR_NAME_BYTES];
 	struct br_node_id tried[TRIED_MAX];
 	uint32_t n_tried, reached, refusals;
+	/** A try ended without an answer after the target may have run it. */
+	bool may_have_run;
 	/** A target's failure, which is the answer unless a repeat brings a better one. */
 	struct http_msg *failure;
 	enum job_reason last_reason;
@@ -156,25 +158,26 @@
 	finish(r, &a);
 }
 
-/* The request has not run at any target and will not. */
-static void refuse(struct request *r, const char *why)
+static void fail(struct request *r, uint16_t status, const char *why)
 {
 	if (r->failure) {
 		pass_answer(r, r->failure);
 		return;
 	}
-	board_count(r->board, COUNT_REFUSED);
-	answer_own(r, 503, retry_after_ms(r), why);
+	board_count(r->board, status == 504 ? COUNT_TIMED_OUT : COUNT_FAILED);
+	answer_own(r, status, 0, why);
 }
 
-static void fail(struct request *r, uint16_t status, const char *why)
+/* No target that is left takes the request. */
+static void refuse(struct request *r, const char *why)
 {
-	if (r->failure) {
-		pass_answer(r, r->failure);
+	/* A refusal says that the request has not run anywhere. */
+	if (r->failure || r->may_have_run) {
+		fail(r, 502, why);
 		return;
 	}
-	board_count(r->board, status == 504 ? COUNT_TIMED_OUT : COUNT_FAILED);
-	answer_own(r, status, 0, why);
+	board_count(r->board, COUNT_REFUSED);
+	answer_own(r, 503, retry_after_ms(r), why);
 }
 
 static struct br_retry_budget_cfg budget_cfg(const struct board *b)
@@ -233,6 +236,7 @@
 
 static void on_lost(struct request *r, const struct job_end *end)
 {
+	r->may_have_run = true;
 	if (may_repeat(r)) {
 		try_next(r);
 		return;
@@ -373,10 +377,7 @@
 	struct member *m = r->n_tried < TRIED_MAX ? choose(r) : NULL;
 
 	if (!m) {
-		if (r->reached && r->last_reason != JOB_REASON_SHED)
-			fail(r, 502, "no other target");
-		else
-			refuse(r, "no target is known to serve");
+		refuse(r, "no target is known to serve");
 		return;
 	}
 	r->tried[r->n_tried++] = m->id;
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -96,10 +96,10 @@
 		return http_answer(fd, 421, "X-Instance-Id: other\r\n", "");
 	/* A target of another id than the first one refuses what the first one fails. */
 	if (ends(in->target, "/shed") ||
-	    (ends(in->target, "/error-or-shed") && strcmp(target_id, "i-1") != 0))
+	    (ends(in->target, "-or-shed") && strcmp(target_id, "i-1") != 0))
 		return http_answer(fd, 503, "X-Not-Executed: 1\r\n", "");
 	note_run(in, id);
-	if (ends(in->target, "/lost"))
+	if (ends(in->target, "/lost") || ends(in->target, "/lost-or-shed"))
 		return false;
 	if (ends(in->target, "/hang")) {
 		hang(fd);
