End what a stopping node takes before its process ends

Change: the deadline of requests that a stopping node takes lies before the end of its process, so that the target ends them, or the node answers 504.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -70,6 +70,8 @@
 	uint32_t view_changes;
 	/** SIGTERM was received. */
 	bool stopping;
+	/** The process ends at this time at the latest. */
+	uint64_t stop_until_us;
 	/** New requests are refused: callers have had time to notice the stop. */
 	bool refusing;
 	uint64_t counters[COUNTERS];
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -94,11 +94,11 @@
 static void on_stop_check(void *arg)
 {
 	struct node *n = arg;
-	uint64_t ms = (clock_now_us() - n->stop_us) / BR_US_PER_MS;
+	uint64_t now_us = clock_now_us(), ms = (now_us - n->stop_us) / BR_US_PER_MS;
 	bool quiet = !request_active() && !peer_server_active(n->peers) &&
 		     caller_server_quiet(n->callers);
 
-	if (ms + STOP_MARGIN_MS >= n->settings.grace_ms)
+	if (now_us >= n->board.stop_until_us)
 		end_process(n);
 	/* What is taken later might not end in time; calls of the target's running jobs go on. */
 	if (ms >= STOP_NOTICED_MS)
@@ -123,6 +123,10 @@
 	      EVENT_NUMBER("jobs", peer_server_active(n->peers)));
 	n->board.stopping = true;
 	n->stop_us = clock_now_us();
+	n->board.stop_until_us =
+		n->stop_us + (n->settings.grace_ms > STOP_MARGIN_MS
+				      ? (n->settings.grace_ms - STOP_MARGIN_MS) * BR_US_PER_MS
+				      : 0);
 	presence_write(n->presence);
 	timer_repeat(n->board.loop, STOP_CHECK_MS, on_stop_check, n);
 }
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -23,6 +23,8 @@
 #define WORK_MARGIN_MS 15
 /* An answer of the target to its own deadline is waited for this long. */
 #define ANSWER_MARGIN_MS 60
+/* A node that stops has answered its requests this long before its process ends. */
+#define STOP_ANSWER_MS 150
 /* Targets that are asked, at most, while each says that it has not run the request. */
 #define REFUSALS_MAX 3
 /*
@@ -488,6 +490,15 @@
 	return true;
 }
 
+/* Time until an answer can still be sent by a node that stops. */
+static uint64_t stop_ms(const struct request *r)
+{
+	uint64_t until_us = r->board->stop_until_us;
+	uint64_t ms = until_us > r->arrived_us ? (until_us - r->arrived_us) / BR_US_PER_MS : 0;
+
+	return ms > STOP_ANSWER_MS ? ms - STOP_ANSWER_MS : 0;
+}
+
 static void set_times(struct request *r)
 {
 	const char *text = field(r, PLATFORM_FIELD_TIME_LEFT_MS);
@@ -500,6 +511,9 @@
 	end_ms = left_ms;
 	if (r->route->timeout_ms && r->route->timeout_ms < end_ms)
 		end_ms = r->route->timeout_ms;
+	/* What a stopping node takes ends with an answer before the process does. */
+	if (r->board->stopping && end_ms > stop_ms(r))
+		end_ms = stop_ms(r);
 	queue_ms = r->route->objective_ms ? r->route->objective_ms : end_ms;
 	if (!r->is_call)
 		queue_ms /= QUEUE_PART;
