Abandon watches when the store no longer answers

They had sent their watches while the store was silent. Such a call is never answered, and the nodes waited for it 21 s although the store was back.

Change: where a renewal of the lease fails, the watches under way end, and begin anew once a renewal succeeds.

--- a/mesh/presence.c
+++ b/mesh/presence.c
@@ -39,6 +39,8 @@
 	if (reached == !p->lost)
 		return;
 	p->lost = !reached;
+	if (!reached)
+		store_abandon_watches(p->board->store);
 	if (reached)
 		EVENT(EVENT_INFO, "presence", "store_back", EVENT_NUMBER("lease", p->lease));
 	else
