Let a target's node tell which part of its requests fails

Change: the node beside a target measures the part of all requests that fails there and tells it with each answer, like the load. Targets are drawn by the chance that requests succeed there, in both zones' draws. The average that fades is a module of its own, failure_rate.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files '*.c' '*.h')
 JOBS ?= 8
 
-.PHONY: all packages build build-asan build-tsan check unit scripts demo soak bench format lint clean
+.PHONY: all packages build build-asan build-tsan check unit scripts demo soak faults faults-known bench format lint clean
 
 all: build
 
@@ -30,7 +30,7 @@
 scripts: build build-tsan
 	@tests/run-scripts.sh build build-tsan
 
-check: unit scripts
+check: unit scripts faults-known
 
 demo: build
 	@tests/demo.sh build
@@ -40,6 +40,15 @@
 soak: build-asan
 	@tests/soak.sh build-asan $(DURATION_S) $(SEED)
 
+# Fault soak over real processes, from SEED on.
+RUNS ?= 8
+faults: build
+	@tests/soak/run.sh build build 4 $$(seq $(SEED) $$(($(SEED) + $(RUNS) - 1)))
+
+# The seeds that have failed once.
+faults-known: build build-asan
+	@tests/soak/run.sh build build-asan 2 $$(cut -d' ' -f1 tests/soak/seeds.txt)
+
 bench: build
 	@tests/bench.sh build
 
--- a/include/briarreel/balance.h
+++ b/include/briarreel/balance.h
@@ -85,11 +85,18 @@
 /**
  * Notes whether a request that reached a target failed there: an error that is the target's own, a
  * refusal by the target itself, or no whole answer. Requests avoid a target for the part of its
- * requests that failed lately, as long as the class has another one.
+ * requests that failed lately, as long as there are others.
  */
 void br_balance_note_result(struct br_balance *b, const struct br_node_id *id, bool failed,
 			    uint64_t now_us);
 
+/**
+ * Notes the part of all nodes' requests that failed at a target, as its own node has measured it:
+ * one answer of that node tells what else each node would have to find out by failures.
+ */
+void br_balance_note_failed(struct br_balance *b, const struct br_node_id *id, double part,
+			    uint64_t now_us);
+
 /** Notes that a request was sent. Returns 0, or -ENOMEM; then no end may be noted. */
 int br_balance_note_start(struct br_balance *b, const struct br_node_id *id, uint64_t now_us);
 
--- a/lib/balance.c
+++ b/lib/balance.c
@@ -1,6 +1,9 @@
 #include "briarreel/balance.h"
 
+#include "briarreel/failure_rate.h"
+
 #include <errno.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -38,12 +41,12 @@
 #define LOAD_QUEUE 2.0
 /* Weight of a result in the part of requests that fail at a target. */
 #define FAILED_WEIGHT 0.08
-/* What is known of a target's failures counts half after this time without a result. */
-#define FAILED_HALF_US (2.0 * BR_US_PER_S)
 /* Single failures say nothing; above this part a target is avoided. */
 #define FAILED_FREE 0.1
 /* Charge for a request that would surely fail, in objectives: more than a wait of some of them. */
 #define FAILED_CHARGE 4.0
+/* A target is drawn in proportion to the chance that so many requests in a row succeed there. */
+#define FAILED_POWER 8.0
 /* Charge for another zone, as a part of the objective: bytes between zones cost. */
 #define ZONE_CHARGE 0.2
 
@@ -63,9 +66,8 @@
 	/** Times relative to those of all targets, as of timed_us; 0 if unknown. */
 	double slowness;
 	uint64_t timed_us;
-	/** Part of the requests that failed lately, as of failed_us. */
-	double failed;
-	uint64_t failed_us;
+	/** As this node has seen it, and as the target's node tells it. */
+	struct br_failure_rate failed, failed_told;
 };
 
 struct br_balance {
@@ -76,6 +78,14 @@
 	struct peer *peers[BUCKETS];
 };
 
+static double failed_part(const struct peer *p, uint64_t now_us)
+{
+	double own = p ? br_failure_rate_get(&p->failed, now_us) : 0;
+	double told = p ? br_failure_rate_get(&p->failed_told, now_us) : 0;
+
+	return own > told ? own : told;
+}
+
 /** What a pick knows about one candidate. */
 struct view {
 	size_t index;
@@ -297,16 +307,6 @@
 	return 1 + (p->slowness - 1) * SLOWNESS_HALF_US / (SLOWNESS_HALF_US + age_us);
 }
 
-static double failed_part(const struct peer *p, uint64_t now_us)
-{
-	double age_us;
-
-	if (!p || p->failed <= 0)
-		return 0;
-	age_us = now_us > p->failed_us ? (double)(now_us - p->failed_us) : 0;
-	return p->failed * FAILED_HALF_US / (FAILED_HALF_US + age_us);
-}
-
 static double failed_charge(const struct peer *p, uint64_t now_us)
 {
 	double part = failed_part(p, now_us);
@@ -348,17 +348,19 @@
 					   uint64_t now_us)
 {
 	size_t first = n == 1 ? 0 : draw(views, n, SIZE_MAX, rng), second = first;
-	size_t n_other = 0, at;
+	struct view others[CANDIDATES_MAX];
+	size_t n_others = 0;
 
 	for (size_t i = 0; i < n; i++)
-		n_other += views[i].local != views[first].local;
-	at = n_other ? br_rng_below(rng, n_other) : 0;
-	for (size_t i = 0; n_other && i < n; i++)
-		if (views[i].local != views[first].local && at-- == 0) {
-			second = i;
-			break;
-		}
-	if (!n_other && n > 1)
+		if (views[i].local != views[first].local)
+			others[n_others++] = views[i];
+	if (n_others) {
+		size_t index = others[draw(others, n_others, SIZE_MAX, rng)].index;
+
+		while (views[second].index != index)
+			second = (second + 1) % n;
+	}
+	if (!n_others && n > 1)
 		second = draw(views, n, first, rng);
 	if (cost_of(b, &candidates[views[second].index], want, &views[second], now_us) <
 	    cost_of(b, &candidates[views[first].index], want, &views[first], now_us))
@@ -378,6 +380,10 @@
 
 	if (!kept)
 		return -ENOENT;
+	for (size_t i = 0; i < kept; i++)
+		views[i].weight *=
+			pow(1 - failed_part(find(b, &candidates[views[i].index].id), now_us),
+			    FAILED_POWER);
 	chosen = cheaper_of_drawn(b, candidates, want, views, kept, rng, now_us);
 	b->counters.picks++;
 	if (!chosen->local)
@@ -411,13 +417,19 @@
 			    uint64_t now_us)
 {
 	struct peer *p = find(b, id);
-	double part;
 
 	if (!p)
 		return;
-	part = failed_part(p, now_us);
-	p->failed = part + ((failed ? 1 : 0) - part) * FAILED_WEIGHT;
-	p->failed_us = now_us;
+	br_failure_rate_note(&p->failed, failed, FAILED_WEIGHT, now_us);
+}
+
+void br_balance_note_failed(struct br_balance *b, const struct br_node_id *id, double part,
+			    uint64_t now_us)
+{
+	struct peer *p = find(b, id);
+
+	if (p)
+		br_failure_rate_set(&p->failed_told, part, now_us);
 }
 
 int br_balance_note_start(struct br_balance *b, const struct br_node_id *id, uint64_t now_us)
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -40,6 +40,8 @@
 {
 	br_balance_note_report(run->board->balance, &run->id, end->in_flight + end->queued,
 			       end->limit, now_us);
+	br_balance_note_failed(run->board->balance, &run->id, end->failed_permille / 1000.0,
+			       now_us);
 	config_confirmed_elsewhere(run->board, end->version, end->confirmed_ms, run->sent_us);
 }
 
--- a/mesh/peer_format.c
+++ b/mesh/peer_format.c
@@ -59,9 +59,10 @@
 
 void peer_write_end(struct buf *b, const struct peer_end *end)
 {
-	buf_printf(b, PEER_END_FIELD ": %d %s %d %d %u %u %u %" PRIu64 " %" PRIu64 "\r\n",
+	buf_printf(b, PEER_END_FIELD ": %d %s %d %d %u %u %u %u %" PRIu64 " %" PRIu64 "\r\n",
 		   (int)end->result, job_reason_text(end->reason), end->reached, end->call_failed,
-		   end->in_flight, end->queued, end->limit, end->version, end->confirmed_ms);
+		   end->in_flight, end->queued, end->limit, end->failed_permille, end->version,
+		   end->confirmed_ms);
 }
 
 int peer_read_end(const char *text, struct peer_end *out)
@@ -69,9 +70,9 @@
 	char reason[BR_NAME_BYTES];
 	unsigned int result, reached, call_failed;
 
-	if (sscanf(text, "%u %63s %u %u %u %u %u %" SCNu64 " %" SCNu64, &result, reason, &reached,
-		   &call_failed, &out->in_flight, &out->queued, &out->limit, &out->version,
-		   &out->confirmed_ms) != 9 ||
+	if (sscanf(text, "%u %63s %u %u %u %u %u %u %" SCNu64 " %" SCNu64, &result, reason,
+		   &reached, &call_failed, &out->in_flight, &out->queued, &out->limit,
+		   &out->failed_permille, &out->version, &out->confirmed_ms) != 10 ||
 	    result > JOB_LOST)
 		return -EINVAL;
 	out->result = (enum job_result)result;
--- a/mesh/peer_format.h
+++ b/mesh/peer_format.h
@@ -33,6 +33,8 @@
 	bool reached, call_failed;
 	/** Requests of the target in flight and waiting, and its concurrency limit. */
 	uint32_t in_flight, queued, limit;
+	/** Requests out of a thousand that failed at the target lately. */
+	uint32_t failed_permille;
 	/** Configuration in force at the sender, and how long ago it knew of no newer one. */
 	uint64_t version, confirmed_ms;
 };
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -332,6 +332,7 @@
 	br_balance_note_end(b->balance, &self->id, BR_BALANCE_CANCELLED, now_us);
 	br_balance_note_report(b->balance, &self->id, load.in_flight + load.queued, load.limit,
 			       now_us);
+	br_balance_note_failed(b->balance, &self->id, load.failed_permille / 1000.0, now_us);
 }
 
 static struct member *choose(struct request *r)
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -1,5 +1,6 @@
 #include "mesh/target.h"
 
+#include "briarreel/failure_rate.h"
 #include "common/clock.h"
 #include "mesh/event_log.h"
 #include "platform/fields.h"
@@ -14,6 +15,8 @@
 #define ANSWER_HEADER_BYTES 65536
 #define ANSWER_BODY_BYTES (64ULL * 1024 * 1024)
 #define TICK_MS 20
+/* Weight of a result in the part of requests that fail. */
+#define FAILED_WEIGHT 0.05
 #define CALL_ID_SEPARATOR '.'
 /*
  * A connection that was idle longer may be closed by the target while a request is on its way,
@@ -34,6 +37,7 @@
 	struct br_admission *queue;
 	struct conn_pool *pool;
 	LIST_HEAD(, job) running;
+	struct br_failure_rate failed;
 	struct timer *ticker;
 };
 
@@ -148,6 +152,7 @@
 static void adopt(struct target *t, const struct target_report *r)
 {
 	conn_pool_drop_idle(t->pool);
+	t->failed = (struct br_failure_rate){0};
 	br_copy_text(t->status.id, sizeof(t->status.id), r->id);
 	br_copy_text(t->status.service, sizeof(t->status.service), r->service);
 	t->status.slots = r->slots;
@@ -239,6 +244,14 @@
 		job->call_failed = true;
 }
 
+/* The target itself failed: a failed call of its own does not count. */
+static bool failed(const struct job *job, enum http_call_fate fate, const struct http_msg *msg)
+{
+	if (fate != HTTP_CALL_ANSWERED || not_run(msg))
+		return true;
+	return msg->status >= 500 && !job->call_failed;
+}
+
 static void on_answer(struct http_call *call, enum http_call_fate fate, struct http_msg *msg,
 		      int err)
 {
@@ -248,6 +261,7 @@
 	bool ran = fate == HTTP_CALL_ANSWERED && !not_run(msg);
 
 	LIST_REMOVE(job, running);
+	br_failure_rate_note(&t->failed, failed(job, fate, msg), FAILED_WEIGHT, now_us);
 	br_admission_done(t->queue, &job->entry, ran ? now_us - job->started_us : 0, now_us);
 	if (fate == HTTP_CALL_NOT_SENT) {
 		end_job(t, job, JOB_NOT_RUN, JOB_REASON_UNREACHABLE, NULL, false);
@@ -374,6 +388,7 @@
 	end->in_flight = br_admission_in_flight(t->queue);
 	end->queued = br_admission_queued(t->queue);
 	end->limit = t->status.slots;
+	end->failed_permille = (uint32_t)(1000 * br_failure_rate_get(&t->failed, clock_now_us()));
 }
 
 void target_tick(struct target *t)
--- /dev/null
+++ b/tests/soak/fault.c
@@ -0,0 +1,284 @@
+#include "standins/mesh/kv.h"
+#include "tests/soak/soak.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define ACTIVE_MAX 6
+#define LONGEST_US (4 * BR_US_PER_S)
+#define SHORTEST_US (300 * BR_US_PER_MS)
+#define GAP_MAX_MS 700
+#define DELAY_MS 120
+#define CHECK_US (20 * BR_US_PER_MS)
+
+enum fault_kind {
+	FAULT_STORE_REFUSES,
+	FAULT_STORE_SILENT,
+	FAULT_STORE_COMPACTED,
+	FAULT_RELAY,
+	FAULT_KILL,
+	FAULT_PAUSE,
+	FAULT_STOP,
+	FAULT_HUP,
+	FAULT_TARGET,
+	FAULT_REPLACE,
+	FAULT_KEY,
+	FAULT_ROUTE,
+	FAULT_KINDS,
+};
+
+struct fault {
+	enum fault_kind kind;
+	uint32_t node, variant;
+	enum relay relay;
+	uint64_t until_us;
+	/** Runs in a thread of its own, which ends it. */
+	bool threaded;
+	volatile bool done;
+};
+
+static const char *const relay_modes[] = {"drop", "drop-to", "drop-from", "refuse"};
+static const char *const kind_names[FAULT_KINDS] = {"store refuses",
+						    "store is silent",
+						    "store forgets its history",
+						    "relay",
+						    "kill",
+						    "pause",
+						    "stop",
+						    "hup",
+						    "target",
+						    "replace",
+						    "key",
+						    "route"};
+#define RELAY_DELAY 4
+#define RELAY_BLACKHOLE 5
+#define RELAY_VARIANTS 6
+
+/* One fault of a kind a node at a time; what ends a process excludes the others that do. */
+static bool clashes(const struct fault *a, const struct fault *b)
+{
+	bool store_a = a->kind <= FAULT_STORE_SILENT, store_b = b->kind <= FAULT_STORE_SILENT;
+	bool process_a = a->kind >= FAULT_KILL && a->kind <= FAULT_HUP;
+	bool process_b = b->kind >= FAULT_KILL && b->kind <= FAULT_HUP;
+	bool target_a = a->kind == FAULT_TARGET || a->kind == FAULT_REPLACE;
+	bool target_b = b->kind == FAULT_TARGET || b->kind == FAULT_REPLACE;
+
+	if (store_a && store_b)
+		return true;
+	if (a->node != b->node)
+		return false;
+	return (process_a && process_b) || (target_a && target_b) ||
+	       (a->kind == FAULT_RELAY && b->kind == FAULT_RELAY && a->relay == b->relay);
+}
+
+static void *run_threaded(void *arg)
+{
+	struct fault *f = arg;
+
+	if (f->kind == FAULT_STOP) {
+		process_stop_node(f->node);
+		sleep_us(SHORTEST_US);
+		process_start_node(f->node);
+	} else {
+		target_replace(f->node, f->variant % 2);
+	}
+	f->done = true;
+	return NULL;
+}
+
+static void start_thread(struct fault *f)
+{
+	pthread_t thread;
+
+	f->threaded = true;
+	if (pthread_create(&thread, NULL, run_threaded, f))
+		abort();
+	pthread_detach(thread);
+}
+
+static void apply_relay(const struct fault *f)
+{
+	char path[64];
+
+	if (f->variant == RELAY_BLACKHOLE)
+		snprintf(path, sizeof(path), "/standin/blackhole");
+	else if (f->variant == RELAY_DELAY)
+		snprintf(path, sizeof(path), "/standin/delay?ms=%d", DELAY_MS);
+	else
+		snprintf(path, sizeof(path), "/standin/mode?mode=%s", relay_modes[f->variant]);
+	process_relay(f->node, f->relay, path);
+}
+
+static void apply(struct fault *f)
+{
+	switch (f->kind) {
+	case FAULT_STORE_REFUSES:
+		kv_set_fault(KV_REFUSES);
+		break;
+	case FAULT_STORE_SILENT:
+		kv_set_fault(KV_SILENT);
+		break;
+	case FAULT_STORE_COMPACTED:
+		kv_compact();
+		break;
+	case FAULT_RELAY:
+		apply_relay(f);
+		break;
+	case FAULT_KILL:
+		process_signal_node(f->node, SIGKILL);
+		break;
+	case FAULT_PAUSE:
+		process_signal_node(f->node, SIGSTOP);
+		break;
+	case FAULT_STOP:
+	case FAULT_REPLACE:
+		start_thread(f);
+		break;
+	case FAULT_HUP:
+		process_signal_node(f->node, SIGHUP);
+		break;
+	case FAULT_TARGET:
+		target_set_fault(f->node,
+				 (enum target_fault)(1 + f->variant % (TARGET_FAULTS - 1)));
+		break;
+	case FAULT_KEY:
+		config_flip_key();
+		break;
+	case FAULT_ROUTE:
+		config_move_route();
+		break;
+	case FAULT_KINDS:
+		break;
+	}
+}
+
+static void undo(struct fault *f)
+{
+	switch (f->kind) {
+	case FAULT_STORE_REFUSES:
+	case FAULT_STORE_SILENT:
+		kv_set_fault(KV_SOUND);
+		break;
+	case FAULT_RELAY:
+		process_relay(f->node, f->relay, "/standin/mode?mode=forward");
+		process_relay(f->node, f->relay, "/standin/delay?ms=0");
+		break;
+	case FAULT_KILL:
+		process_start_node(f->node);
+		break;
+	case FAULT_PAUSE:
+		process_signal_node(f->node, SIGCONT);
+		break;
+	case FAULT_TARGET:
+		target_set_fault(f->node, TARGET_SOUND);
+		break;
+	default:
+		break;
+	}
+}
+
+/* What a fault touches is not calm while it lasts; changes by the operator disturb nothing. */
+static void mark(const struct fault *f)
+{
+	if (f->kind <= FAULT_STORE_COMPACTED)
+		calm_disturb(NONE, now_us());
+	else if (f->kind <= FAULT_STOP)
+		calm_disturb(f->node, now_us());
+}
+
+static struct fault pick(struct br_rng *rng)
+{
+	static const uint32_t weights[FAULT_KINDS] = {2, 2, 1, 8, 2, 2, 2, 1, 4, 3, 2, 2};
+	struct fault f = {0};
+	uint32_t sum = 0, at;
+
+	for (int k = 0; k < FAULT_KINDS; k++)
+		sum += weights[k];
+	at = draw(rng, sum);
+	while (at >= weights[f.kind])
+		at -= weights[f.kind++];
+	f.node = draw(rng, soak.n_nodes);
+	f.variant = draw(rng, RELAY_VARIANTS);
+	f.relay = (enum relay)draw(rng, RELAYS);
+	f.until_us = SHORTEST_US + draw(rng, (uint32_t)(LONGEST_US - SHORTEST_US));
+	return f;
+}
+
+static bool fits(const struct fault *f, struct fault *const *active)
+{
+	for (int i = 0; i < ACTIVE_MAX; i++)
+		if (active[i] && clashes(f, active[i]))
+			return false;
+	return true;
+}
+
+/* Starts a fault if there are not too many. */
+static void start_fault(const struct fault *picked, struct fault **active, uint64_t began_us)
+{
+	struct fault *f;
+	int i = 0;
+
+	while (i < ACTIVE_MAX && active[i])
+		i++;
+	if (i == ACTIVE_MAX)
+		return;
+	f = malloc(sizeof(*f));
+	if (!f)
+		abort();
+	*f = *picked;
+	printf("  %6.2f s %s, node %u, variant %u, relay %d, %.2f s\n",
+	       (double)(now_us() - began_us) / BR_US_PER_S, kind_names[f->kind], f->node,
+	       f->variant, f->relay, (double)f->until_us / BR_US_PER_S);
+	f->until_us += now_us();
+	mark(f);
+	apply(f);
+	active[i] = f;
+}
+
+static void end_faults(struct fault **active, bool all)
+{
+	for (int i = 0; i < ACTIVE_MAX; i++) {
+		struct fault *f = active[i];
+
+		if (!f)
+			continue;
+		mark(f);
+		if (f->threaded ? !f->done : !all && now_us() < f->until_us)
+			continue;
+		undo(f);
+		mark(f);
+		free(f);
+		active[i] = NULL;
+	}
+}
+
+void fault_run(uint64_t for_us)
+{
+	struct fault *active[ACTIVE_MAX] = {0};
+	uint64_t began_us = now_us(), next_us = began_us;
+	bool left = true;
+	struct br_rng rng;
+
+	br_rng_seed(&rng, soak.seed);
+	while (now_us() < began_us + for_us) {
+		struct fault f = {0};
+
+		if (now_us() >= next_us) {
+			f = pick(&rng);
+			next_us = now_us() + draw(&rng, GAP_MAX_MS) * BR_US_PER_MS;
+			if (fits(&f, active))
+				start_fault(&f, active, began_us);
+		}
+		end_faults(active, false);
+		process_check();
+		sleep_us(CHECK_US);
+	}
+	while (left) {
+		left = false;
+		end_faults(active, true);
+		for (int i = 0; i < ACTIVE_MAX; i++)
+			left |= active[i] != NULL;
+		sleep_us(CHECK_US);
+	}
+}
--- a/tests/unit/balance.c
+++ b/tests/unit/balance.c
@@ -295,3 +295,34 @@
 	cr_assert_geq(first, 60, "%d of 200 requests after it was well again", first);
 	br_balance_destroy(b);
 }
+
+/*
+ * Guards against each node of a large fleet having to find out by its own failures which targets
+ * fail: what the target's node tells counts at once, and fades.
+ */
+Test(balance, fast_pick_avoids_a_target_that_is_told_to_fail)
+{
+	struct br_balance *b = br_balance_create(0);
+	struct br_balance_candidate c[2] = {{.id = {"a"}, .zone = "z1"},
+					    {.id = {"b"}, .zone = "z1"}};
+	struct br_balance_want want = {
+		.zone = "z1", .class = 1, .objective_us = 200 * BR_US_PER_MS};
+	struct br_rng rng;
+	uint64_t now = BR_US_PER_S;
+	int picks = 0;
+
+	br_rng_seed(&rng, 1);
+	for (int k = 0; k < 2; k++) {
+		cr_assert_eq(br_balance_note_start(b, &c[k].id, now), 0);
+		br_balance_note_end(b, &c[k].id, BR_BALANCE_OK, now);
+	}
+	br_balance_note_failed(b, &c[0].id, 0.4, now);
+	for (int i = 0; i < 200; i++)
+		picks += br_balance_pick_fast(b, c, 2, &want, NULL, 0, &rng, now) == 0;
+	cr_assert_leq(picks, 20, "%d of 200", picks);
+	now += 60 * BR_US_PER_S;
+	for (int i = 0; i < 200; i++)
+		picks += br_balance_pick_fast(b, c, 2, &want, NULL, 0, &rng, now) == 0;
+	cr_assert_geq(picks, 60, "%d of 400", picks);
+	br_balance_destroy(b);
+}
