Serve latency histograms; test that the log does not wait for its reader

Cause: the metrics page had counters only, and nothing showed where time goes: at the entry node, in a queue, at the target, in calls to the store. That the log never blocks had no test.

Change: histograms of requests by outcome, of the time before the first try, of queue, target and store calls, with fixed buckets; the page is a module of its own, metrics.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -7,6 +7,7 @@
 #define MESH_BOARD_H
 
 #include "briarreel/balance.h"
+#include "mesh/histogram.h"
 #include "mesh/model.h"
 #include "net/conn_pool.h"
 
@@ -35,6 +36,18 @@
 	COUNTERS,
 };
 
+/** Times whose distribution is kept. */
+enum time_kind {
+	TIME_ANSWERED,
+	TIME_REFUSED,
+	TIME_FAILED,
+	TIME_ENTRY,
+	TIME_QUEUE,
+	TIME_TARGET,
+	TIME_STORE,
+	TIMES,
+};
+
 struct board {
 	uv_loop_t *loop;
 	const struct mesh_settings *settings;
@@ -75,6 +88,7 @@
 	/** New requests are refused: callers have had time to notice the stop. */
 	bool refusing;
 	uint64_t counters[COUNTERS];
+	struct histogram times[TIMES];
 };
 
 static inline void board_count(struct board *b, enum counter c)
--- a/mesh/job.h
+++ b/mesh/job.h
@@ -76,7 +76,7 @@
 	/** Private: exactly one of the two ways is in use. */
 	struct http_call call;
 	struct br_admission_entry entry;
-	uint64_t started_us;
+	uint64_t offered_us, started_us;
 	bool call_failed;
 	LIST_ENTRY(job) running;
 	void *runner;
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -165,6 +165,13 @@
 	uv_signal_start(&n->hup, on_hup, SIGHUP);
 }
 
+static void on_store_time(void *ctx, uint64_t time_us)
+{
+	struct board *b = ctx;
+
+	histogram_note(&b->times[TIME_STORE], time_us);
+}
+
 static int start(struct node *n)
 {
 	struct board *b = &n->board;
@@ -179,6 +186,7 @@
 	b->balance = br_balance_create(0);
 	BR_INVARIANT(b->balance);
 	b->store = store_create(b->loop, &n->settings.store_addr);
+	store_observe(b->store, on_store_time, b);
 	b->members = members_create(b);
 	b->target = target_create(b, on_target_changed, n);
 	n->keeper_link = keeper_link_create(b);
--- /dev/null
+++ b/mesh/metrics.c
@@ -0,0 +1,98 @@
+#include "mesh/metrics.h"
+
+#include "mesh/config_watch.h"
+#include "mesh/event_log.h"
+#include "mesh/members.h"
+#include "mesh/target.h"
+#include "platform/store.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+static const struct {
+	const char *name, *help;
+} counter_names[COUNTERS] = {
+	[COUNT_REQUESTS] = {"requests_total", "Requests of callers."},
+	[COUNT_ANSWERED] = {"answered_total", "Requests with an answer of a target."},
+	[COUNT_NO_CONFIG] = {"no_config_total", "Refused: no configuration is known yet."},
+	[COUNT_NO_ROUTE] = {"no_route_total", "Refused: no route, host or id."},
+	[COUNT_KEY_UNKNOWN] = {"key_unknown_total", "Refused: key missing or not known."},
+	[COUNT_KEY_UNCONFIRMED] = {"key_unconfirmed_total", "Refused: keys not confirmed."},
+	[COUNT_OVER_QUOTA] = {"over_quota_total", "Refused: account over its rate."},
+	[COUNT_REFUSED] = {"refused_total", "Refused with 503, not run."},
+	[COUNT_FAILED] = {"failed_total", "Answered 502."},
+	[COUNT_TIMED_OUT] = {"timed_out_total", "Answered 504."},
+	[COUNT_CALLER_LEFT] = {"caller_left_total", "Callers that left before the answer."},
+	[COUNT_REPEATS] = {"repeats_total", "Requests sent to a further target."},
+	[COUNT_REPEATS_DENIED] = {"repeats_denied_total", "Repeats denied by the budget."},
+	[COUNT_TARGET_JOBS] = {"target_jobs_total", "Jobs for the target of this VM."},
+	[COUNT_TARGET_NOT_RUN] = {"target_not_run_total", "Jobs that the target has not run."},
+	[COUNT_TARGET_LOST] = {"target_lost_total", "Jobs without a whole answer."},
+};
+
+static const struct {
+	const char *name, *label, *help;
+} time_names[TIMES] = {
+	[TIME_ANSWERED] = {"request_seconds", "outcome=\"answered\"",
+			   "From a caller's request to its answer."},
+	[TIME_REFUSED] = {"request_seconds", "outcome=\"refused\"", NULL},
+	[TIME_FAILED] = {"request_seconds", "outcome=\"failed\"", NULL},
+	[TIME_ENTRY] = {"entry_seconds", "", "From a request to its first try: key, rate, choice."},
+	[TIME_QUEUE] = {"queue_seconds", "", "Wait of jobs in the queue of this VM's target."},
+	[TIME_TARGET] = {"target_seconds", "", "Time that this VM's target took for a job."},
+	[TIME_STORE] = {"store_seconds", "", "Calls to the store, without watches."},
+};
+
+static void write_times(const struct board *b, struct buf *out)
+{
+	char name[64];
+
+	for (int i = 0; i < TIMES; i++) {
+		snprintf(name, sizeof(name), "briarreel_%s", time_names[i].name);
+		if (time_names[i].help)
+			buf_printf(out, "# HELP %s %s\n# TYPE %s histogram\n", name,
+				   time_names[i].help, name);
+		histogram_write(&b->times[i], name, time_names[i].label, out);
+	}
+}
+
+void metrics_write(const struct board *b, struct buf *out)
+{
+	struct peer_end load = {0};
+
+	for (int i = 0; i < COUNTERS; i++)
+		buf_printf(out,
+			   "# HELP briarreel_%s %s\n# TYPE briarreel_%s counter\n"
+			   "briarreel_%s %" PRIu64 "\n",
+			   counter_names[i].name, counter_names[i].help, counter_names[i].name,
+			   counter_names[i].name, b->counters[i]);
+	write_times(b, out);
+	target_load(b->target, &load);
+	buf_printf(out, "# TYPE briarreel_target_in_flight gauge\nbriarreel_target_in_flight %u\n",
+		   load.in_flight);
+	buf_printf(out, "# TYPE briarreel_target_queued gauge\nbriarreel_target_queued %u\n",
+		   load.queued);
+	buf_printf(out, "# TYPE briarreel_target_phase gauge\nbriarreel_target_phase %d\n",
+		   (int)target_status(b->target)->phase);
+	buf_printf(out, "# TYPE briarreel_members gauge\nbriarreel_members %zu\n",
+		   members_count(b->members));
+	buf_printf(out,
+		   "# TYPE briarreel_config_version gauge\nbriarreel_config_version %" PRIu64 "\n",
+		   b->config ? b->config->version : 0);
+	buf_printf(out,
+		   "# TYPE briarreel_config_confirmed_age_ms gauge\n"
+		   "briarreel_config_confirmed_age_ms %" PRIu64 "\n",
+		   config_confirmed_ms(b));
+	buf_printf(out,
+		   "# TYPE briarreel_store_calls_total counter\n"
+		   "briarreel_store_calls_total %" PRIu64 "\n",
+		   store_calls(b->store));
+	buf_printf(out,
+		   "# TYPE briarreel_target_connections_total counter\n"
+		   "briarreel_target_connections_total %" PRIu64 "\n",
+		   target_connections_opened(b->target));
+	buf_printf(out,
+		   "# TYPE briarreel_log_dropped_total counter\n"
+		   "briarreel_log_dropped_total %" PRIu64 "\n",
+		   event_log_dropped());
+}
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -92,8 +92,17 @@
 	free(r);
 }
 
+static enum time_kind time_kind_of(uint16_t status)
+{
+	if (status == 429 || status == 503)
+		return TIME_REFUSED;
+	return status >= 400 ? TIME_FAILED : TIME_ANSWERED;
+}
+
 static void finish(struct request *r, struct request_answer *answer)
 {
+	histogram_note(&r->board->times[time_kind_of(answer->status)],
+		       clock_now_us() - r->arrived_us);
 	if (answer->status >= 429)
 		target_call_failed(r->board->target, r->id);
 	r->done(r->ctx, r, answer);
@@ -403,6 +412,8 @@
 	};
 	r->job_active = true;
 	r->sent_us = clock_now_us();
+	if (r->n_tried == 1)
+		histogram_note(&r->board->times[TIME_ENTRY], r->sent_us - r->arrived_us);
 	peer_run(r->board, m, &r->job);
 }
 
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -3,7 +3,7 @@
 #include "briarreel/error.h"
 #include "mesh/config_watch.h"
 #include "mesh/event_log.h"
-#include "mesh/members.h"
+#include "mesh/metrics.h"
 #include "mesh/request.h"
 #include "mesh/target.h"
 #include "platform/decode.h"
@@ -31,67 +31,6 @@
 	LIST_ENTRY(service_conn) link;
 };
 
-static const struct {
-	const char *name, *help;
-} counter_names[COUNTERS] = {
-	[COUNT_REQUESTS] = {"requests_total", "Requests of callers."},
-	[COUNT_ANSWERED] = {"answered_total", "Requests with an answer of a target."},
-	[COUNT_NO_CONFIG] = {"no_config_total", "Refused: no configuration is known yet."},
-	[COUNT_NO_ROUTE] = {"no_route_total", "Refused: no route, host or id."},
-	[COUNT_KEY_UNKNOWN] = {"key_unknown_total", "Refused: key missing or not known."},
-	[COUNT_KEY_UNCONFIRMED] = {"key_unconfirmed_total", "Refused: keys not confirmed."},
-	[COUNT_OVER_QUOTA] = {"over_quota_total", "Refused: account over its rate."},
-	[COUNT_REFUSED] = {"refused_total", "Refused with 503, not run."},
-	[COUNT_FAILED] = {"failed_total", "Answered 502."},
-	[COUNT_TIMED_OUT] = {"timed_out_total", "Answered 504."},
-	[COUNT_CALLER_LEFT] = {"caller_left_total", "Callers that left before the answer."},
-	[COUNT_REPEATS] = {"repeats_total", "Requests sent to a further target."},
-	[COUNT_REPEATS_DENIED] = {"repeats_denied_total", "Repeats denied by the budget."},
-	[COUNT_TARGET_JOBS] = {"target_jobs_total", "Jobs for the target of this VM."},
-	[COUNT_TARGET_NOT_RUN] = {"target_not_run_total", "Jobs that the target has not run."},
-	[COUNT_TARGET_LOST] = {"target_lost_total", "Jobs without a whole answer."},
-};
-
-static void write_metrics(const struct board *b, struct buf *out)
-{
-	struct peer_end load = {0};
-
-	for (int i = 0; i < COUNTERS; i++)
-		buf_printf(out,
-			   "# HELP briarreel_%s %s\n# TYPE briarreel_%s counter\n"
-			   "briarreel_%s %" PRIu64 "\n",
-			   counter_names[i].name, counter_names[i].help, counter_names[i].name,
-			   counter_names[i].name, b->counters[i]);
-	target_load(b->target, &load);
-	buf_printf(out, "# TYPE briarreel_target_in_flight gauge\nbriarreel_target_in_flight %u\n",
-		   load.in_flight);
-	buf_printf(out, "# TYPE briarreel_target_queued gauge\nbriarreel_target_queued %u\n",
-		   load.queued);
-	buf_printf(out, "# TYPE briarreel_target_phase gauge\nbriarreel_target_phase %d\n",
-		   (int)target_status(b->target)->phase);
-	buf_printf(out, "# TYPE briarreel_members gauge\nbriarreel_members %zu\n",
-		   members_count(b->members));
-	buf_printf(out,
-		   "# TYPE briarreel_config_version gauge\nbriarreel_config_version %" PRIu64 "\n",
-		   b->config ? b->config->version : 0);
-	buf_printf(out,
-		   "# TYPE briarreel_config_confirmed_age_ms gauge\n"
-		   "briarreel_config_confirmed_age_ms %" PRIu64 "\n",
-		   config_confirmed_ms(b));
-	buf_printf(out,
-		   "# TYPE briarreel_store_calls_total counter\n"
-		   "briarreel_store_calls_total %" PRIu64 "\n",
-		   store_calls(b->store));
-	buf_printf(out,
-		   "# TYPE briarreel_target_connections_total counter\n"
-		   "briarreel_target_connections_total %" PRIu64 "\n",
-		   target_connections_opened(b->target));
-	buf_printf(out,
-		   "# TYPE briarreel_log_dropped_total counter\n"
-		   "briarreel_log_dropped_total %" PRIu64 "\n",
-		   event_log_dropped());
-}
-
 static void answer(struct service_conn *sc, uint16_t status, const char *type, struct buf *body)
 {
 	struct buf b = {0};
@@ -136,7 +75,7 @@
 	bool ready;
 
 	if (!strcmp(http_msg_target(m), METRICS_PATH)) {
-		write_metrics(board, &body);
+		metrics_write(board, &body);
 		answer(sc, 200, "text/plain; version=0.0.4", &body);
 		http_msg_destroy(m);
 		return;
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -270,6 +270,8 @@
 	bool ran = fate == HTTP_CALL_ANSWERED && !not_run(msg);
 
 	LIST_REMOVE(job, running);
+	if (ran)
+		histogram_note(&t->board->times[TIME_TARGET], now_us - job->started_us);
 	br_failure_rate_note(&t->failed, failed(job, fate, msg), FAILED_WEIGHT, now_us);
 	br_admission_done(t->queue, &job->entry, ran ? now_us - job->started_us : 0, now_us);
 	if (fate == HTTP_CALL_NOT_SENT) {
@@ -313,6 +315,7 @@
 	struct buf b = {0};
 
 	job->started_us = now_us;
+	histogram_note(&t->board->times[TIME_QUEUE], now_us - job->offered_us);
 	job->cancel = cancel_running;
 	LIST_INSERT_HEAD(&t->running, job, running);
 	job->call = (struct http_call){
@@ -373,6 +376,7 @@
 		.place = job->place,
 	};
 	job->call_failed = false;
+	job->offered_us = now_us;
 	if (closed != JOB_REASON_NONE) {
 		end_job(t, job, JOB_NOT_RUN, closed, NULL, false);
 		return;
--- /dev/null
+++ b/tests/unit/mesh_metrics.c
@@ -0,0 +1,65 @@
+#include "mesh/event_log.h"
+#include "mesh/histogram.h"
+
+#include "common/clock.h"
+
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LINES 20000
+#define KINDS 50
+/* Far more than the events take, and far less than a reader that never comes. */
+#define MOST_US 5000000
+
+/* Guards against samples in the wrong bucket, and against a page that a scraper rejects. */
+Test(mesh_metrics, histogram_is_cumulative)
+{
+	struct histogram h = {0};
+	struct buf b = {0};
+	const char *text;
+
+	histogram_note(&h, 100);
+	histogram_note(&h, 101);
+	histogram_note(&h, 60 * 1000 * 1000);
+	histogram_write(&h, "x_seconds", "outcome=\"a\"", &b);
+	text = buf_cstr(&b);
+	cr_assert(strstr(text, "x_seconds_bucket{outcome=\"a\",le=\"0.0001\"} 1\n"));
+	cr_assert(strstr(text, "x_seconds_bucket{outcome=\"a\",le=\"0.00025\"} 2\n"));
+	cr_assert(strstr(text, "x_seconds_bucket{outcome=\"a\",le=\"5\"} 2\n"));
+	cr_assert(strstr(text, "x_seconds_bucket{outcome=\"a\",le=\"+Inf\"} 3\n"));
+	cr_assert(strstr(text, "x_seconds_sum{outcome=\"a\"} 60.000201\n"));
+	cr_assert(strstr(text, "x_seconds_count{outcome=\"a\"} 3\n"));
+	buf_free(&b);
+	histogram_write(&h, "y", "", &b);
+	cr_assert(strstr(buf_cstr(&b), "y_bucket{le=\"0.0001\"} 1\n"));
+	cr_assert(strstr(buf_cstr(&b), "y_count 3\n"));
+	buf_free(&b);
+}
+
+/* Guards against a node that waits for the reader of its log, or that keeps all lines for it. */
+Test(mesh_metrics, log_does_not_wait_for_its_reader)
+{
+	static char names[KINDS][16];
+	uint64_t began_us = clock_now_us();
+	int ends[2];
+
+	cr_assert_eq(pipe(ends), 0);
+	cr_assert_geq(dup2(ends[1], STDOUT_FILENO), 0);
+	event_log_start(uv_default_loop(), "n");
+	/* Many kinds, so that the rate of each lets more through than the buffers hold. */
+	for (int k = 0; k < KINDS; k++)
+		snprintf(names[k], sizeof(names[k]), "kind%d", k);
+	for (int i = 0; i < LINES; i++)
+		event_log(EVENT_ERROR, "part", names[i % KINDS],
+			  (const struct event_field[]){EVENT_TEXT("filler",
+								  "0123456789abcdef0123456789"
+								  "abcdef0123456789abcdef")},
+			  1);
+	event_log_flush();
+	cr_assert_leq(clock_now_us() - began_us, MOST_US);
+	cr_assert_geq(event_log_dropped(), LINES / 2);
+	close(ends[0]);
+	close(ends[1]);
+}
