--- a/mesh/request.c
+++ b/mesh/request.c
@@ -161,7 +161,13 @@
 	}
 	http_msg_write_length(&a.fields, m);
 	buf_append(&a.body, m->body.data, m->body.len);
-	if (m->status >= 500)
+	if (m->status < 500)
+		EVENT(EVENT_INFO, "request", "answered", EVENT_TEXT("request", r->id),
+		      EVENT_TEXT("route", r->route->name), EVENT_TEXT("target", r->target),
+		      EVENT_NUMBER("status", m->status), EVENT_NUMBER("tries", r->n_tried),
+		      EVENT_NUMBER("reached", r->reached),
+		      EVENT_NUMBER("after_ms", (clock_now_us() - r->arrived_us) / BR_US_PER_MS));
+	else
 		EVENT(EVENT_WARNING, "request", "target_failed", EVENT_TEXT("request", r->id),
 		      EVENT_TEXT("route", r->route->name), EVENT_TEXT("target", r->target),
 		      EVENT_NUMBER("status", m->status), EVENT_NUMBER("reached", r->reached),
@@ -392,6 +398,12 @@
 		refuse(r, "no target is known to serve");
 		return;
 	}
+	if (r->n_tried)
+		EVENT(EVENT_INFO, "request", "sent_again", EVENT_TEXT("request", r->id),
+		      EVENT_TEXT("route", r->route->name), EVENT_TEXT("from", r->target),
+		      EVENT_TEXT("to", m->target.id),
+		      EVENT_TEXT("why", job_reason_text(r->last_reason)),
+		      EVENT_NUMBER("reached", r->reached));
 	r->tried[r->n_tried++] = m->id;
 	br_copy_text(r->target, sizeof(r->target), m->target.id);
 	r->job = (struct job){
