Read the settings again when the file changes without a signal

Cause: a change of the settings file took effect only with SIGHUP or a restart. Besides, two services whose names hash alike shared a retry budget.

Budgets are kept by the whole hash of the service's name.

Test: script node-slots rewrites the file and waits for the reload.

--- a/mesh/main.c
+++ b/mesh/main.c
@@ -24,6 +24,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #define SWEEP_MS 500
 #define STOP_CHECK_MS 50
@@ -46,6 +47,8 @@
 	struct service_server *service;
 	uv_signal_t term, hup;
 	uint64_t stop_us;
+	/** Last change of the settings file. */
+	struct timespec settings_time;
 	bool leaving, left;
 };
 
@@ -64,17 +67,6 @@
 	election_lease(n->election, lease, until_us);
 }
 
-static void on_sweep(void *arg)
-{
-	struct node *n = arg;
-
-	target_tick(n->board.target);
-	members_sweep(n->board.members);
-	peer_server_sweep(n->peers);
-	caller_server_sweep(n->callers);
-	store_sweep(n->board.store);
-}
-
 static void on_left(void *ctx)
 {
 	struct node *n = ctx;
@@ -131,15 +123,14 @@
 	timer_repeat(n->board.loop, STOP_CHECK_MS, on_stop_check, n);
 }
 
-static void on_hup(uv_signal_t *handle, int signum)
+static void reload(struct node *n, const char *why)
 {
-	struct node *n = handle->data;
 	struct mesh_settings read;
 	struct br_error err = {0};
 
-	(void)signum;
 	if (platform_read_settings(n->settings_path, &read, &err)) {
-		EVENT(EVENT_ERROR, "node", "reload_failed", EVENT_TEXT("error", err.detail));
+		EVENT(EVENT_ERROR, "node", "reload_failed", EVENT_TEXT("why", why),
+		      EVENT_TEXT("error", err.detail));
 		return;
 	}
 	/* Addresses stay as they are until a restart; bounds take effect at once. */
@@ -151,7 +142,41 @@
 	n->settings.budget_extra = read.budget_extra;
 	n->settings.quota_over_part = read.quota_over_part;
 	n->settings.quota_over_extra = read.quota_over_extra;
-	EVENT(EVENT_INFO, "node", "reloaded", EVENT_TEXT("file", n->settings_path));
+	board_count(&n->board, COUNT_RELOADS);
+	EVENT(EVENT_INFO, "node", "reloaded", EVENT_TEXT("why", why),
+	      EVENT_TEXT("file", n->settings_path));
+}
+
+static void on_hup(uv_signal_t *handle, int signum)
+{
+	(void)signum;
+	reload(handle->data, "signal");
+}
+
+/* The file may also change without a signal. */
+static void look_at_settings(struct node *n)
+{
+	struct stat st;
+
+	if (stat(n->settings_path, &st) || (st.st_mtim.tv_sec == n->settings_time.tv_sec &&
+					    st.st_mtim.tv_nsec == n->settings_time.tv_nsec))
+		return;
+	/* The first look finds what the process has started with. */
+	if (n->settings_time.tv_sec)
+		reload(n, "file changed");
+	n->settings_time = st.st_mtim;
+}
+
+static void on_sweep(void *arg)
+{
+	struct node *n = arg;
+
+	target_tick(n->board.target);
+	members_sweep(n->board.members);
+	peer_server_sweep(n->peers);
+	caller_server_sweep(n->callers);
+	store_sweep(n->board.store);
+	look_at_settings(n);
 }
 
 static void watch_signals(struct node *n)
--- a/mesh/metrics.c
+++ b/mesh/metrics.c
@@ -28,6 +28,7 @@
 	[COUNT_TARGET_JOBS] = {"target_jobs_total", "Jobs for the target of this VM."},
 	[COUNT_TARGET_NOT_RUN] = {"target_not_run_total", "Jobs that the target has not run."},
 	[COUNT_TARGET_LOST] = {"target_lost_total", "Jobs without a whole answer."},
+	[COUNT_RELOADS] = {"reloads_total", "Settings read again."},
 };
 
 static const struct {
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -70,7 +70,11 @@
 };
 
 static uint32_t n_active;
-static struct br_retry_budget budgets[SERVICES_MAX];
+/* Budgets by the hash of the service's name, since indexes change with the configuration. */
+static struct budget_row {
+	uint64_t key;
+	struct br_retry_budget budget;
+} budgets[SERVICES_MAX];
 
 static void try_next(struct request *r);
 
@@ -209,12 +213,17 @@
 	return (uint32_t)members_count(b->members);
 }
 
-/* Budgets are told apart by the service's name, since indexes change with the configuration. */
 static struct br_retry_budget *budget_of(const struct request *r)
 {
-	const char *name = r->config->services[r->service].name;
+	uint64_t key = br_hash_str(r->config->services[r->service].name, 0) | 1;
+	size_t at = key % SERVICES_MAX;
 
-	return &budgets[br_hash_str(name, 0) % SERVICES_MAX];
+	/* A table that is full shares rows, which allows no more than the rows' services together. */
+	for (size_t i = 0; i < SERVICES_MAX && budgets[at].key && budgets[at].key != key; i++)
+		at = (at + 1) % SERVICES_MAX;
+	if (!budgets[at].key)
+		budgets[at].key = key;
+	return &budgets[at].budget;
 }
 
 static bool may_repeat(struct request *r)
