Ask the target who it is after a restart of the node alone

Cause: a node that is killed and started again knows its target only from the target's next report, up to 1.5 s later; until then nobody can run its requests. After a kill of all nodes the whole system waits so long. The first look at the configuration also waited for a timer.

Change: a node that is not started with the whole system asks its target's health path until the first report. An answer of 200 names the target and its slots; one that leaves answers otherwise. The configuration is read at once.

The soak's and the scripts' targets answer health requests. The soak ends its processes where it is ended itself.

--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -297,6 +297,7 @@
 	board->newer_ctx = w;
 	w->started_us = clock_now_us();
 	w->check = timer_repeat(board->loop, CHECK_MS, on_check, w);
+	on_check(w);
 	return w;
 }
 
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -13,6 +13,7 @@
 #include "mesh/request.h"
 #include "mesh/service.h"
 #include "mesh/target.h"
+#include "mesh/target_search.h"
 #include "mesh/view_watch.h"
 #include "net/timer.h"
 #include "platform/decode.h"
@@ -40,6 +41,8 @@
 	struct config_watch *config_watch;
 	struct election *election;
 	struct presence *presence;
+	/** NULL at the first start of the whole system: targets start then as well. */
+	struct target_search *target_search;
 	struct view_watch *view_watch;
 	struct keeper_link *keeper_link;
 	struct peer_server *peers;
@@ -224,6 +227,8 @@
 	n->peers = peer_server_create(b);
 	n->service = service_server_create(b);
 	n->callers = caller_server_create(b);
+	if (!n->settings.first_start)
+		n->target_search = target_search_create(b);
 	if (!n->peers || !n->service || !n->callers) {
 		EVENT(EVENT_ERROR, "node", "listen_failed", EVENT_TEXT("step", "start"));
 		event_log_flush();
--- a/mesh/model.c
+++ b/mesh/model.c
@@ -27,8 +27,10 @@
 		free(c->routes[i].prefix);
 		free(c->routes[i].parts);
 	}
-	for (uint32_t i = 0; i < c->n_services; i++)
+	for (uint32_t i = 0; i < c->n_services; i++) {
 		free(c->services[i].name);
+		free(c->services[i].health_path);
+	}
 	for (uint32_t i = 0; i < c->n_accounts; i++)
 		free(c->accounts[i].name);
 	for (uint32_t i = 0; i < c->n_keys; i++)
--- a/mesh/model.h
+++ b/mesh/model.h
@@ -75,6 +75,8 @@
 
 struct mesh_service {
 	char *name;
+	/** Path of the targets' health answers; NULL if none is configured. */
+	char *health_path;
 };
 
 struct mesh_account {
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -174,8 +174,9 @@
 
 void target_report(struct target *t, const struct target_report *r)
 {
+	/* What a health answer told has no start yet. */
 	bool same = t->status.phase != TARGET_ABSENT && !strcmp(t->status.id, r->id) &&
-		    t->born_ms == r->born_ms;
+		    (t->born_ms == r->born_ms || !t->born_ms);
 
 	if (!same) {
 		/* A report that was held up is of an older incarnation than the one that is known. */
@@ -187,6 +188,7 @@
 	if (r->sequence <= t->sequence || t->status.phase == TARGET_GONE)
 		return;
 	t->sequence = r->sequence;
+	t->born_ms = r->born_ms;
 	if (r->state == TARGET_DRAINING && t->status.phase == TARGET_SERVING)
 		set_phase(t, TARGET_LEAVING, "its report");
 	if (r->slots != t->status.slots) {
--- /dev/null
+++ b/mesh/target_search.c
@@ -0,0 +1,126 @@
+#include "mesh/target_search.h"
+
+#include "common/clock.h"
+#include "mesh/event_log.h"
+#include "mesh/target.h"
+#include "net/timer.h"
+#include "platform/fields.h"
+
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define CHECK_MS 20
+/* Pause after an answer that told nothing. */
+#define AGAIN_US (200 * BR_US_PER_MS)
+/* Targets report about this often. */
+#define SEARCH_US (1500 * BR_US_PER_MS)
+#define CALL_TIMEOUT_MS 500
+#define CONNECT_TIMEOUT_MS 200
+#define ANSWER_HEADER_BYTES 16384
+#define ANSWER_BODY_BYTES 65536
+
+struct target_search {
+	struct board *board;
+	struct timer *timer;
+	struct conn_pool *pool;
+	struct http_call call;
+	uint64_t until_us, next_us;
+};
+
+/* A target that is healthy and does not leave; its load tells its slots. */
+static bool read_answer(const struct http_msg *msg, struct target_report *out)
+{
+	const char *id = http_msg_find(msg, platform_field_name(PLATFORM_FIELD_ANSWERING_TARGET));
+	const char *load = http_msg_find(msg, platform_field_name(PLATFORM_FIELD_TARGET_LOAD));
+	unsigned int running, waiting, slots;
+
+	if (msg->status != 200 || !id || !*id || !load ||
+	    sscanf(load, "%u,%u,%u", &running, &waiting, &slots) != 3 || !slots)
+		return false;
+	br_copy_text(out->id, sizeof(out->id), id);
+	out->slots = slots;
+	return true;
+}
+
+static void on_done(struct http_call *call, enum http_call_fate fate, struct http_msg *msg, int err)
+{
+	struct target_search *s =
+		(struct target_search *)((char *)call - offsetof(struct target_search, call));
+	struct target_report report = {.state = TARGET_READY};
+
+	(void)fate;
+	(void)err;
+	if (msg && read_answer(msg, &report) &&
+	    target_status(s->board->target)->phase == TARGET_ABSENT) {
+		br_copy_text(report.service, sizeof(report.service), s->board->settings->service);
+		EVENT(EVENT_INFO, "target", "found", EVENT_TEXT("target", report.id),
+		      EVENT_NUMBER("slots", report.slots));
+		target_report(s->board->target, &report);
+	}
+	http_msg_destroy(msg);
+	s->next_us = clock_now_us() + AGAIN_US;
+}
+
+static void ask(struct target_search *s, const char *path)
+{
+	struct buf b = {0};
+
+	s->call.done = on_done;
+	s->call.timeout_ms = CALL_TIMEOUT_MS;
+	buf_printf(&b, "GET %s HTTP/1.1\r\nHost: target\r\n\r\n", path);
+	conn_pool_send(s->pool, &s->call, &b);
+}
+
+static const char *health_path(const struct board *b)
+{
+	int service = b->config ? mesh_config_service(b->config, b->settings->service) : -1;
+
+	return service < 0 ? NULL : b->config->services[service].health_path;
+}
+
+static void on_check(void *arg)
+{
+	struct target_search *s = arg;
+	const char *path = health_path(s->board);
+
+	if (http_call_active(&s->call))
+		return;
+	if (target_status(s->board->target)->phase != TARGET_ABSENT ||
+	    clock_now_us() >= s->until_us) {
+		timer_cancel(&s->timer);
+		conn_pool_drop_idle(s->pool);
+		return;
+	}
+	if (path && clock_now_us() >= s->next_us)
+		ask(s, path);
+}
+
+struct target_search *target_search_create(struct board *board)
+{
+	struct conn_pool_cfg cfg = {
+		.addr = board->settings->target_addr,
+		.limits = {.header_bytes = ANSWER_HEADER_BYTES, .body_bytes = ANSWER_BODY_BYTES},
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.idle_ms = CALL_TIMEOUT_MS,
+		.idle_max = 1,
+	};
+	struct target_search *s = xcalloc(1, sizeof(*s));
+
+	s->board = board;
+	s->pool = conn_pool_create(board->loop, &cfg);
+	s->until_us = clock_now_us() + SEARCH_US;
+	s->timer = timer_repeat(board->loop, CHECK_MS, on_check, s);
+	return s;
+}
+
+void target_search_destroy(struct target_search *s)
+{
+	if (!s)
+		return;
+	timer_cancel(&s->timer);
+	if (http_call_active(&s->call))
+		http_call_cancel(&s->call);
+	conn_pool_destroy(s->pool);
+	free(s);
+}
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -88,6 +88,11 @@
 {
 	char id[ID_BYTES] = "", expected[ID_BYTES] = "", fields[256], text[512];
 
+	if (!strcmp(in->target, "/health")) {
+		snprintf(fields, sizeof(fields), "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%d\r\n",
+			 target_id, slots);
+		return http_answer(fd, 200, fields, "");
+	}
 	http_in_field(in, "X-Attempt-Id", id, sizeof(id));
 	http_in_field(in, "X-Expected-Instance", expected, sizeof(expected));
 	snprintf(fields, sizeof(fields), "X-Attempt-Id: %s\r\nX-Server-Seal: seal.%s\r\n", id,
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -6,11 +6,13 @@
 
 #include <inttypes.h>
 #include <popt.h>
+#include <signal.h>
 #include <sodium.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
+#include <unistd.h>
 
 #define CALM_US (3 * BR_US_PER_S)
 /* Part of the requests that is served once the system has recovered. */
@@ -111,6 +113,30 @@
 	return broken_count() > 0;
 }
 
+/* Ends the processes that were started where the soak itself is ended. */
+static void *run_signals(void *arg)
+{
+	int signum;
+
+	sigwait(arg, &signum);
+	process_end_all();
+	_exit(2);
+}
+
+static void catch_signals(void)
+{
+	static sigset_t signals;
+	pthread_t thread;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGTERM);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	if (pthread_create(&thread, NULL, run_signals, &signals))
+		abort();
+	pthread_detach(thread);
+}
+
 int main(int argc, const char **argv)
 {
 	int seed = 1, net = 64, nodes = 6, callers = 16, faults_s = 15, rc;
@@ -140,6 +166,7 @@
 			     .build = build,
 			     .dir = dir};
 	printf("seed %d, %d nodes, %d callers, %d s of faults\n", seed, nodes, callers, faults_s);
+	catch_signals();
 	rc = run((uint32_t)callers, (uint32_t)faults_s);
 	process_end_all();
 	printf("seed %d: %s, %u broken\n", seed, rc ? "FAILED" : "passed", broken_count());
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -34,6 +34,8 @@
 static pid_t spawn(const char *const *argv, const char *log)
 {
 	posix_spawn_file_actions_t actions;
+	posix_spawnattr_t attr;
+	sigset_t none;
 	char path[PATH_BYTES];
 	pid_t pid;
 	int rc;
@@ -42,7 +44,13 @@
 	posix_spawn_file_actions_init(&actions);
 	posix_spawn_file_actions_addopen(&actions, 1, path, O_WRONLY | O_CREAT | O_APPEND, 0644);
 	posix_spawn_file_actions_adddup2(&actions, 1, 2);
-	rc = posix_spawn(&pid, argv[0], &actions, NULL, (char *const *)argv, environ);
+	/* The soak itself blocks signals that its processes need. */
+	sigemptyset(&none);
+	posix_spawnattr_init(&attr);
+	posix_spawnattr_setsigmask(&attr, &none);
+	posix_spawnattr_setflags(&attr, POSIX_SPAWN_SETSIGMASK);
+	rc = posix_spawn(&pid, argv[0], &actions, &attr, (char *const *)argv, environ);
+	posix_spawnattr_destroy(&attr);
 	posix_spawn_file_actions_destroy(&actions);
 	if (rc) {
 		fprintf(stderr, "soak: cannot start %s: %s\n", argv[0], strerror(rc));
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -13,6 +13,7 @@
 #define WORK_US (20 * BR_US_PER_MS)
 #define SLOW_US (400 * BR_US_PER_MS)
 #define SLOTS 16
+#define HEALTH_PATH "/health"
 /* Part of the requests that a fault hits. */
 #define FAULT_PERCENT 40
 /* A target that was replaced is away for this time. */
@@ -96,6 +97,19 @@
 	return status == 200;
 }
 
+static bool answer_health(int fd, struct target *t)
+{
+	char fields[160];
+	bool ready;
+
+	pthread_mutex_lock(&t->lock);
+	ready = t->life == LIFE_READY;
+	snprintf(fields, sizeof(fields), "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%d\r\n", t->id,
+		 SLOTS);
+	pthread_mutex_unlock(&t->lock);
+	return http_answer(fd, ready ? 200 : 503, fields, "");
+}
+
 static bool handle(int fd, const struct http_in *in)
 {
 	uint32_t node = node_of(fd), r;
@@ -116,6 +130,8 @@
 		http_reset(fd);
 		return false;
 	}
+	if (!strcmp(in->target, HEALTH_PATH))
+		return answer_health(fd, t);
 	http_in_field(in, "X-Attempt-Id", id, sizeof(id));
 	http_in_field(in, "X-Expected-Instance", expected, sizeof(expected));
 	http_in_field(in, "X-Tenant", account, sizeof(account));
