--- a/mesh/request.c
+++ b/mesh/request.c
@@ -1,6 +1,5 @@
 #include "mesh/request.h"
 
-#include "briarreel/retry_budget.h"
 #include "common/clock.h"
 #include "mesh/config_watch.h"
 #include "mesh/event_log.h"
@@ -9,6 +8,7 @@
 #include "mesh/peer.h"
 #include "mesh/peer_format.h"
 #include "mesh/quota.h"
+#include "mesh/repeats.h"
 #include "net/timer.h"
 #include "platform/fields.h"
 
@@ -37,7 +37,6 @@
 #define RETRY_AFTER_MIN_PERCENT 8
 #define RETRY_AFTER_SPREAD_PERCENT 20
 #define TRIED_MAX 8
-#define SERVICES_MAX 512
 
 struct request {
 	struct board *board;
@@ -70,12 +69,6 @@
 };
 
 static uint32_t n_active;
-/* Budgets by the hash of the service's name, since indexes change with the configuration. */
-static struct budget_row {
-	uint64_t key;
-	struct br_retry_budget budget;
-} budgets[SERVICES_MAX];
-
 static void try_next(struct request *r);
 
 static const char *field(const struct request *r, enum platform_field f)
@@ -201,39 +194,17 @@
 	answer_own(r, 503, retry_after_ms(r), why);
 }
 
-static struct br_retry_budget_cfg budget_cfg(const struct board *b)
-{
-	return (struct br_retry_budget_cfg){.ratio = b->settings->budget_ratio,
-					    .extra = b->settings->budget_extra,
-					    .window_us = b->settings->budget_window_ms * 1000};
-}
-
-static uint32_t n_nodes(const struct board *b)
-{
-	return (uint32_t)members_count(b->members);
-}
-
-static struct br_retry_budget *budget_of(const struct request *r)
+static const char *service_name(const struct request *r)
 {
-	uint64_t key = br_hash_str(r->config->services[r->service].name, 0) | 1;
-	size_t at = key % SERVICES_MAX;
-
-	/* A table that is full shares rows, which allows no more than the rows' services together. */
-	for (size_t i = 0; i < SERVICES_MAX && budgets[at].key && budgets[at].key != key; i++)
-		at = (at + 1) % SERVICES_MAX;
-	if (!budgets[at].key)
-		budgets[at].key = key;
-	return &budgets[at].budget;
+	return r->config->services[r->service].name;
 }
 
 static bool may_repeat(struct request *r)
 {
-	struct br_retry_budget_cfg cfg = budget_cfg(r->board);
-
 	if (!r->route->idempotent || r->reached >= r->route->attempts ||
 	    clock_now_us() >= r->deadline_us)
 		return false;
-	if (!br_retry_budget_take(budget_of(r), &cfg, n_nodes(r->board), clock_now_us())) {
+	if (!repeats_take(r->board, service_name(r))) {
 		board_count(r->board, COUNT_REPEATS_DENIED);
 		return false;
 	}
@@ -362,7 +333,7 @@
 static struct member *choose(struct request *r)
 {
 	struct board *b = r->board;
-	const char *service = r->config->services[r->service].name;
+	const char *service = service_name(r);
 	size_t n = members_count(b->members), n_candidates = 0;
 	struct br_balance_candidate *candidates = xcalloc(n, sizeof(*candidates));
 	size_t *index = xcalloc(n, sizeof(*index));
@@ -464,10 +435,8 @@
 
 static void dispatch(struct request *r)
 {
-	struct br_retry_budget_cfg cfg = budget_cfg(r->board);
-
 	r->service = choose_service(r->route, &r->board->rng);
-	br_retry_budget_request(budget_of(r), &cfg, n_nodes(r->board), clock_now_us());
+	repeats_note_request(r->board, service_name(r));
 	try_next(r);
 }
 
