--- a/review/common/stage.c
+++ b/review/common/stage.c
@@ -17,8 +17,16 @@
 #include <unistd.h>
 
 /* Ports of a machine, counted from the first one of the run. */
-enum { PORT_STORE, PORT_INBOUND, PORT_CONTROL, PORT_READY, PORT_APPLICATION, PORT_OUTBOUND,
-       PORT_INTERNAL, PORTS = PORT_INTERNAL + 16 };
+enum {
+	PORT_STORE,
+	PORT_INBOUND,
+	PORT_CONTROL,
+	PORT_READY,
+	PORT_APPLICATION,
+	PORT_OUTBOUND,
+	PORT_INTERNAL,
+	PORTS = PORT_INTERNAL + 16
+};
 #define LOOPBACK "127.0.77."
 /* The run ends itself after this time. */
 #define RUN_MAX_S 118
@@ -77,7 +85,8 @@
 	bool ok;
 
 	setsockopt(t, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	ok = !bind(t, (struct sockaddr *)&a, sizeof(a)) && !bind(u, (struct sockaddr *)&a, sizeof(a));
+	ok = !bind(t, (struct sockaddr *)&a, sizeof(a)) &&
+	     !bind(u, (struct sockaddr *)&a, sizeof(a));
 	close(t);
 	close(u);
 	return ok;
@@ -119,7 +128,8 @@
 	signal(SIGTERM, on_alarm);
 	signal(SIGINT, on_alarm);
 	alarm(RUN_MAX_S);
-	for (unsigned int base = 21000 + (unsigned int)getpid() % 300 * 25; base < 31000; base += 25)
+	for (unsigned int base = 21000 + (unsigned int)getpid() % 300 * 25; base < 31000;
+	     base += 25)
 		if (!base_port && ports_free(base))
 			base_port = base;
 	if (!base_port)
@@ -160,7 +170,7 @@
 	       code == CASE_BROKEN ? "the rule was broken"
 	       : code == CASE_HELD ? "the rule held"
 				   : "the case could not run");
-	snprintf(command, sizeof(command), getenv("REVIEW_KEEP") ? "echo %s" : "rm -rf %s", temp_dir);
+	snprintf(command, sizeof(command), "rm -rf %s", temp_dir);
 	if (system(command))
 		code = code ? code : CASE_NOT_RUN;
 	fflush(NULL);
@@ -195,7 +205,8 @@
 		stage_end(CASE_NOT_RUN);
 	fprintf(f,
 		"nodeName=%s\nrole=mesh\nmachineClass=sidecar\nserves=sidecar,control\n"
-		"ipAddress=" LOOPBACK "%d\nzone=%s\nregion=sask\nzones.sask-a=sask\nzones.sask-b=sask\n"
+		"ipAddress=" LOOPBACK
+		"%d\nzone=%s\nregion=sask\nzones.sask-a=sask\nzones.sask-b=sask\n"
 		"listenAddresses.inbound=%s\nlistenAddresses.outbound=%s\n"
 		"listenAddresses.ready=%s\nlistenAddresses.control=%s\ninternalPorts=%u,%u\n"
 		"seeds=\nfirstStart=%s\ncountsTowardTolerance=false\nlimits.cpuShare=0.4\n"
--- a/review/common/stage.h
+++ b/review/common/stage.h
@@ -19,7 +19,11 @@
 #define STAGE_TEXT 128
 
 /** Exit codes of a script. */
-enum { CASE_HELD = 0, CASE_BROKEN = 1, CASE_NOT_RUN = 2 };
+enum {
+	CASE_HELD = 0,
+	CASE_BROKEN = 1,
+	CASE_NOT_RUN = 2
+};
 
 /** One machine: a node and the addresses on it. */
 struct machine {
