Review: case 1 with one faulty server of eight

Cause: both servers of review/1 shed a fifth of their requests, which is more of them than the site's srv_grey allows.

--- a/review/common/stage.c
+++ b/review/common/stage.c
@@ -111,6 +111,8 @@
 	for (int i = 1; i <= STAGE_NODES; i++)
 		if (machines[i].pid > 0)
 			kill(machines[i].pid, SIGKILL);
+	if (!fork())
+		execl("/bin/rm", "rm", "-rf", temp_dir, (char *)NULL);
 	_exit(CASE_NOT_RUN);
 }
 
--- a/review/common/stage.h
+++ b/review/common/stage.h
@@ -15,7 +15,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define STAGE_NODES 6
+#define STAGE_NODES 9
 #define STAGE_TEXT 128
 
 /** Exit codes of a script. */
