Ask a target before a report from before a restart puts it into use

Cause: a node orders reports by the sequence numbers that its own process has seen. After a restart it has seen none, so the first readable report made the target serve, also one that was sent before the target left and arrived late. The same cause on related paths: a first report that says draining began the drain time anew; a leaving that came before the restarted node knew the target was acknowledged and forgotten; a target found by its health, whose start is not known, gave way to a late report of its predecessor, and its next incarnation under the same id was ignored for good.

Change: br_report_order() decides what a report says. A ready report counts at once only where this process has been told of every leaving since. Otherwise the target's health is asked, which is 200 only while the target does not leave, and a health request counts only if it was sent after the report and after any leaving. A draining report after a restart closes the target. Target search now runs on demand; a health answer without the number of slots also confirms.

Why it works: the target is the one place that knows whether it leaves, also where the acknowledgement, the store and the earlier process are gone. Every leaving after the confirmation comes to this process.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -21,6 +21,7 @@
 struct members;
 struct quota;
 struct target;
+struct target_search;
 
 enum counter {
 	COUNT_REQUESTS,
@@ -77,6 +78,7 @@
 	struct members *members;
 	struct br_balance *balance;
 	struct target *target;
+	struct target_search *target_search;
 	struct quota *quota;
 	/**
 	 * The last call to grant or renew the lease failed. Renewals are the cheapest calls, so
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -41,11 +41,6 @@
 	struct config_watch *config_watch;
 	struct election *election;
 	struct presence *presence;
-	/**
-	 * Finds the running target after a restart; NULL at the first start of the whole system,
-	 * when the targets start as well.
-	 */
-	struct target_search *target_search;
 	struct view_watch *view_watch;
 	struct keeper_link *keeper_link;
 	struct peer_server *peers;
@@ -261,6 +256,7 @@
 	store_set_observer(b->store, on_store_time, b);
 	b->members = members_create(b);
 	b->target = target_create(b, on_target_changed, n);
+	b->target_search = target_search_create(b);
 	n->keeper_link = keeper_link_create(b);
 	b->quota = quota_create(b, n->keeper_link);
 	n->config_watch = config_watch_create(b);
@@ -272,8 +268,9 @@
 	n->peers = peer_server_create(b);
 	n->service = service_server_create(b);
 	n->callers = caller_server_create(b);
+	/* At the first start of the whole system the targets start as well, and report soon. */
 	if (!n->settings.first_start)
-		n->target_search = target_search_create(b);
+		target_search_start(b->target_search);
 	if (!n->peers || !n->service || !n->callers) {
 		EVENT(EVENT_ERROR, "node", "listen_failed", EVENT_TEXT("step", "start"));
 		event_log_flush();
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -6,6 +6,7 @@
 #include "mesh/metrics.h"
 #include "mesh/request.h"
 #include "mesh/target.h"
+#include "mesh/target_search.h"
 #include "platform/decode.h"
 #include "platform/store.h"
 
@@ -53,6 +54,7 @@
 
 static void handle_report(struct service_conn *sc, const struct http_msg *m, const char *id)
 {
+	struct board *board = sc->server->board;
 	struct target_report report = {0};
 	struct br_error err = {0};
 
@@ -63,7 +65,9 @@
 		return;
 	}
 	br_copy_text(report.id, sizeof(report.id), id);
-	target_report(sc->server->board->target, &report);
+	target_report(board->target, &report);
+	if (target_needs_confirmation(board->target))
+		target_search_start(board->target_search);
 	send_json_answer(sc, 200);
 }
 
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -1,6 +1,7 @@
 #include "mesh/target.h"
 
 #include "briarreel/failure_rate.h"
+#include "briarreel/incarnation.h"
 #include "common/clock.h"
 #include "mesh/event_log.h"
 #include "platform/fields.h"
@@ -44,8 +45,15 @@
 	void (*changed)(void *ctx);
 	void *ctx;
 	struct target_status status;
-	/** Start of the incarnation and sequence number of its latest report. */
-	uint64_t incarnation_start_ms, sequence;
+	/** Meaningful in all phases but TARGET_ABSENT. */
+	struct br_incarnation incarnation;
+	/** See struct br_incarnation_view. */
+	bool history_complete;
+	/** Latest report that the target has not confirmed yet. */
+	struct target_report unconfirmed;
+	bool has_unconfirmed;
+	/** A health request that was sent before this time confirms nothing. */
+	uint64_t confirmable_us;
 	/** In TARGET_LEAVING: time at which the target becomes TARGET_CLOSED. */
 	uint64_t leaving_until_us;
 	struct br_admission *queue;
@@ -125,6 +133,8 @@
 	t->ctx = ctx;
 	t->queue = br_admission_create(&cfg);
 	t->pool = create_pool(t);
+	/* At the first start of the whole system no earlier process has been told anything. */
+	t->history_complete = board->settings->first_start;
 	BR_INVARIANT(t->queue);
 	return t;
 }
@@ -151,9 +161,11 @@
 
 	EVENT(EVENT_INFO, "target", "phase", EVENT_TEXT("target", t->status.id),
 	      EVENT_TEXT("from", names[t->status.phase]), EVENT_TEXT("to", names[phase]),
-	      EVENT_TEXT("why", why), EVENT_NUMBER("sequence", t->sequence),
+	      EVENT_TEXT("why", why), EVENT_NUMBER("sequence", t->incarnation.sequence),
 	      EVENT_NUMBER("slots", t->status.slots));
 	t->status.phase = phase;
+	if (phase != TARGET_SERVING)
+		t->confirmable_us = clock_now_us();
 	if (phase == TARGET_LEAVING)
 		t->leaving_until_us = clock_now_us() + t->board->settings->drain_ms * BR_US_PER_MS /
 							       100 * DRAIN_USED_PERCENT;
@@ -169,8 +181,27 @@
 	return used ? used : 1;
 }
 
+static struct br_incarnation incarnation_of(const struct target_report *r)
+{
+	struct br_incarnation in = {.start_ms = r->incarnation_start_ms, .sequence = r->sequence};
+
+	br_copy_text(in.id, sizeof(in.id), r->id);
+	return in;
+}
+
+/*
+ * Phase of a new incarnation. If an earlier process may have acknowledged the leaving, the drain
+ * time may be over already.
+ */
+static enum target_phase first_phase(const struct target *t, const struct target_report *r)
+{
+	if (r->state == REPORTED_READY)
+		return TARGET_SERVING;
+	return t->history_complete ? TARGET_LEAVING : TARGET_CLOSED;
+}
+
 /* Replaces the known target by the new incarnation that a report describes. */
-static void set_incarnation(struct target *t, const struct target_report *r)
+static void set_incarnation(struct target *t, const struct target_report *r, const char *why)
 {
 	conn_pool_drop_idle(t->pool);
 	t->failure_rate = (struct br_failure_rate){0};
@@ -178,32 +209,17 @@
 	br_copy_text(t->status.service, sizeof(t->status.service), r->service);
 	t->status.slots = r->slots;
 	t->status.cold_until_us = clock_now_us() + r->cold_ms * BR_US_PER_MS;
-	t->incarnation_start_ms = r->incarnation_start_ms;
-	t->sequence = r->sequence;
+	t->incarnation = incarnation_of(r);
+	t->has_unconfirmed = false;
 	br_admission_set_limit(t->queue, concurrency_limit(r->slots));
-	set_phase(t, r->state == REPORTED_READY ? TARGET_SERVING : TARGET_LEAVING,
-		  "first report of an incarnation");
+	set_phase(t, first_phase(t, r), why);
 }
 
-void target_report(struct target *t, const struct target_report *r)
+static void update_incarnation(struct target *t, const struct target_report *r)
 {
-	/* The start of the incarnation is unknown if it was found by a health request. */
-	bool same =
-		t->status.phase != TARGET_ABSENT && !strcmp(t->status.id, r->id) &&
-		(t->incarnation_start_ms == r->incarnation_start_ms || !t->incarnation_start_ms);
-
-	if (!same) {
-		/* A delayed report of an older incarnation is ignored. */
-		if (t->status.phase != TARGET_ABSENT &&
-		    r->incarnation_start_ms < t->incarnation_start_ms)
-			return;
-		set_incarnation(t, r);
-		return;
-	}
-	if (r->sequence <= t->sequence || t->status.phase == TARGET_CLOSED)
+	t->incarnation = incarnation_of(r);
+	if (t->status.phase == TARGET_CLOSED)
 		return;
-	t->sequence = r->sequence;
-	t->incarnation_start_ms = r->incarnation_start_ms;
 	if (r->state == REPORTED_DRAINING && t->status.phase == TARGET_SERVING)
 		set_phase(t, TARGET_LEAVING, "target reports draining");
 	if (r->slots != t->status.slots) {
@@ -213,12 +229,91 @@
 	}
 }
 
+static void set_unconfirmed(struct target *t, const struct target_report *r)
+{
+	const struct target_report *last = &t->unconfirmed;
+	bool same = t->has_unconfirmed && !strcmp(last->id, r->id) &&
+		    last->incarnation_start_ms == r->incarnation_start_ms;
+
+	if (t->has_unconfirmed && (same ? r->sequence <= last->sequence
+					: r->incarnation_start_ms < last->incarnation_start_ms))
+		return;
+	if (!same) {
+		t->confirmable_us = clock_now_us();
+		EVENT(EVENT_INFO, "target", "report_unconfirmed", EVENT_TEXT("target", r->id),
+		      EVENT_TEXT("known", t->status.id), EVENT_NUMBER("sequence", r->sequence),
+		      EVENT_NUMBER("incarnation_start_ms", r->incarnation_start_ms));
+	}
+	t->unconfirmed = *r;
+	t->has_unconfirmed = true;
+}
+
+void target_report(struct target *t, const struct target_report *r)
+{
+	const struct br_incarnation report = incarnation_of(r);
+	const struct br_incarnation_view view = {
+		.known = t->status.phase == TARGET_ABSENT ? NULL : &t->incarnation,
+		.serving = t->status.phase == TARGET_SERVING,
+		.history_complete = t->history_complete,
+	};
+
+	switch (br_report_order(&view, &report, r->state == REPORTED_READY)) {
+	case BR_REPORT_OUTDATED:
+		EVENT(EVENT_INFO, "target", "report_outdated", EVENT_TEXT("target", r->id),
+		      EVENT_TEXT("known", t->status.id), EVENT_NUMBER("sequence", r->sequence),
+		      EVENT_NUMBER("latest", t->incarnation.sequence));
+		break;
+	case BR_REPORT_CURRENT:
+		update_incarnation(t, r);
+		break;
+	case BR_REPORT_REPLACES:
+		set_incarnation(t, r, "first report of an incarnation");
+		break;
+	case BR_REPORT_UNCONFIRMED:
+		set_unconfirmed(t, r);
+		break;
+	}
+}
+
+bool target_needs_confirmation(const struct target *t)
+{
+	return t->has_unconfirmed;
+}
+
+void target_confirm(struct target *t, const char *id, uint32_t slots, uint64_t asked_us)
+{
+	struct target_report r = {.state = REPORTED_READY, .slots = slots};
+	bool reported = t->has_unconfirmed && !strcmp(t->unconfirmed.id, id);
+
+	if (asked_us < t->confirmable_us)
+		return;
+	t->has_unconfirmed = false;
+	if (reported) {
+		r = t->unconfirmed;
+	} else if (t->status.phase == TARGET_ABSENT && slots) {
+		br_copy_text(r.id, sizeof(r.id), id);
+		br_copy_text(r.service, sizeof(r.service), t->board->settings->service);
+	} else {
+		return;
+	}
+	t->history_complete = true;
+	set_incarnation(t, &r, "target has confirmed that it is ready");
+}
+
 void target_leave(struct target *t, const char *id)
 {
-	if (t->status.phase == TARGET_ABSENT || strcmp(t->status.id, id) != 0)
+	if (t->status.phase != TARGET_ABSENT && !strcmp(t->status.id, id)) {
+		if (t->status.phase == TARGET_SERVING)
+			set_phase(t, TARGET_LEAVING, "target has announced that it is leaving");
 		return;
-	if (t->status.phase == TARGET_SERVING)
-		set_phase(t, TARGET_LEAVING, "target has announced that it is leaving");
+	}
+	/* Its reports may still arrive, and so may a health answer that it gave before. */
+	EVENT(EVENT_INFO, "target", "unknown_left", EVENT_TEXT("target", id),
+	      EVENT_TEXT("known", t->status.id));
+	t->history_complete = false;
+	t->confirmable_us = clock_now_us();
+	if (t->has_unconfirmed && !strcmp(t->unconfirmed.id, id))
+		t->has_unconfirmed = false;
 }
 
 /* Tests whether the target has refused the request; 421 means that it was for another target. */
--- a/mesh/target.h
+++ b/mesh/target.h
@@ -47,11 +47,22 @@
 
 /**
  * Processes a report of the target. Reports older than the known state are ignored, and so are
- * further reports of an incarnation in TARGET_CLOSED and cold_ms of all reports but the first.
+ * further reports of an incarnation in TARGET_CLOSED and cold_ms of all reports but the first. A
+ * report that may have been overtaken by the target's leaving waits for target_confirm().
  */
 void target_report(struct target *t, const struct target_report *r);
 
-/** Processes a target's announcement that it leaves; ignored if id is not the current target's. */
+/** Tests whether a report waits for target_confirm(). */
+bool target_needs_confirmation(const struct target *t);
+
+/**
+ * Processes a health answer in which the target id says that it is ready. slots is 0 if the answer
+ * does not tell them. asked_us is the time at which the health request was sent: an answer to an
+ * earlier question than the report or the leaving that it would settle is ignored.
+ */
+void target_confirm(struct target *t, const char *id, uint32_t slots, uint64_t asked_us);
+
+/** Processes a target's announcement that it leaves, also of one that is not the current target. */
 void target_leave(struct target *t, const char *id);
 
 const struct target_status *target_status(const struct target *t);
--- a/mesh/target_search.c
+++ b/mesh/target_search.c
@@ -27,26 +27,21 @@
 	struct conn_pool *pool;
 	struct http_call call;
 	uint64_t until_us, next_us;
+	/** Time at which the pending health request was sent. */
+	uint64_t asked_us;
 };
 
-/*
- * Reads id and slots from a health answer. Returns false if a field is missing or the status is not
- * 200. Only a healthy target that is not leaving answers 200.
- */
-static bool parse_health_answer(const struct http_msg *msg, struct target_report *out)
+/* Slots that a health answer tells; 0 if it does not, as not all targets do. */
+static uint32_t read_slots(const struct http_msg *msg)
 {
-	const char *id =
-		http_msg_find_field(msg, platform_field_name(PLATFORM_FIELD_ANSWERING_TARGET));
 	const char *load =
 		http_msg_find_field(msg, platform_field_name(PLATFORM_FIELD_TARGET_LOAD));
 	unsigned int running, waiting, slots;
 
-	if (msg->status != 200 || !id || !*id || !load ||
-	    sscanf(load, "%u,%u,%u", &running, &waiting, &slots) != 3 || !slots)
-		return false;
-	br_copy_text(out->id, sizeof(out->id), id);
-	out->slots = slots;
-	return true;
+	if (!load || sscanf(load, "%u,%u,%u", &running, &waiting, &slots) != 3 ||
+	    slots > UINT16_MAX)
+		return 0;
+	return slots;
 }
 
 static void on_done(struct http_call *call, enum http_call_result call_result, struct http_msg *msg,
@@ -54,16 +49,19 @@
 {
 	struct target_search *s =
 		(struct target_search *)((char *)call - offsetof(struct target_search, call));
-	struct target_report report = {.state = REPORTED_READY};
-
-	(void)call_result;
-	(void)err;
-	if (msg && parse_health_answer(msg, &report) &&
-	    target_status(s->board->target)->phase == TARGET_ABSENT) {
-		br_copy_text(report.service, sizeof(report.service), s->board->settings->service);
-		EVENT(EVENT_INFO, "target", "found", EVENT_TEXT("target", report.id),
-		      EVENT_NUMBER("slots", report.slots));
-		target_report(s->board->target, &report);
+	const char *id =
+		msg ? http_msg_find_field(msg, platform_field_name(PLATFORM_FIELD_ANSWERING_TARGET))
+		    : NULL;
+	uint16_t status = msg ? msg->status : 0;
+
+	/* Only a healthy target that is not leaving answers 200. */
+	if (status == 200 && id && *id) {
+		EVENT(EVENT_INFO, "target", "found", EVENT_TEXT("target", id),
+		      EVENT_NUMBER("slots", read_slots(msg)));
+		target_confirm(s->board->target, id, read_slots(msg), s->asked_us);
+	} else {
+		EVENT(EVENT_INFO, "target", "not_confirmed", EVENT_NUMBER("status", status),
+		      EVENT_NUMBER("result", call_result), EVENT_NUMBER("error", (uint64_t)-err));
 	}
 	http_msg_destroy(msg);
 	s->next_us = clock_now_us() + RETRY_INTERVAL_US;
@@ -75,6 +73,7 @@
 
 	s->call.done = on_done;
 	s->call.timeout_ms = CALL_TIMEOUT_MS;
+	s->asked_us = clock_now_us();
 	buf_printf(&b, "GET %s HTTP/1.1\r\nHost: target\r\n\r\n", path);
 	conn_pool_send(s->pool, &s->call, &b);
 }
@@ -86,6 +85,11 @@
 	return service < 0 ? NULL : b->config->services[service].health_path;
 }
 
+static bool is_settled(const struct target *t)
+{
+	return target_status(t)->phase != TARGET_ABSENT && !target_needs_confirmation(t);
+}
+
 static void on_check(void *arg)
 {
 	struct target_search *s = arg;
@@ -93,8 +97,7 @@
 
 	if (http_call_active(&s->call))
 		return;
-	if (target_status(s->board->target)->phase != TARGET_ABSENT ||
-	    clock_now_us() >= s->until_us) {
+	if (is_settled(s->board->target) || clock_now_us() >= s->until_us) {
 		timer_cancel(&s->timer);
 		conn_pool_drop_idle(s->pool);
 		return;
@@ -117,11 +120,16 @@
 
 	s->board = board;
 	s->pool = conn_pool_create(board->loop, &cfg);
-	s->until_us = clock_now_us() + SEARCH_DURATION_US;
-	s->timer = timer_repeat(board->loop, CHECK_MS, on_check, s);
 	return s;
 }
 
+void target_search_start(struct target_search *s)
+{
+	s->until_us = clock_now_us() + SEARCH_DURATION_US;
+	if (!s->timer)
+		s->timer = timer_repeat(s->board->loop, CHECK_MS, on_check, s);
+}
+
 void target_search_destroy(struct target_search *s)
 {
 	if (!s)
--- a/mesh/target_search.h
+++ b/mesh/target_search.h
@@ -1,8 +1,8 @@
 /**
  * @file target_search.h
- * Identifies the target of this VM by a health request after the node alone has restarted. The
- * target's next report may be more than a second away, and until then no other node can send it
- * requests.
+ * Asks the target of this VM by health requests who it is and whether it is ready. After a restart
+ * of the node alone the target's next report may be more than a second away, and an earlier one that
+ * arrives late says nothing about a leaving that the former process was told of.
  */
 #ifndef MESH_TARGET_SEARCH_H
 #define MESH_TARGET_SEARCH_H
@@ -11,9 +11,15 @@
 
 struct target_search;
 
-/** Starts the search, which ends when the target is known or after 1.5 s. */
+/** Creates a search that does nothing until it is started; never returns NULL. */
 struct target_search *target_search_create(struct board *board);
 
+/**
+ * Starts the search, or extends it if it runs. It ends when the target is known and no report waits
+ * for a confirmation, or after 1.5 s.
+ */
+void target_search_start(struct target_search *s);
+
 /** Ends the search and frees it; NULL is allowed. */
 void target_search_destroy(struct target_search *s);
 
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -31,7 +31,10 @@
 static size_t n_runs;
 /** Requests whose caller closed the connection while they ran. */
 static int n_disconnected;
-/** State sent in the target's reports; no reports are sent while it is empty. */
+/**
+ * State sent in the target's reports; no reports are sent while it is empty or "left". The target is
+ * healthy while it is "ready" or empty.
+ */
 static char state[32] = "ready";
 
 static void sleep_ms(long ms)
@@ -84,6 +87,16 @@
 	}
 }
 
+static bool is_healthy(void)
+{
+	bool healthy;
+
+	pthread_mutex_lock(&lock);
+	healthy = !*state || !strcmp(state, "ready");
+	pthread_mutex_unlock(&lock);
+	return healthy;
+}
+
 /* The end of the path selects the target's behaviour. */
 static bool handle_target(int fd, const struct http_req *req)
 {
@@ -92,7 +105,7 @@
 	if (!strcmp(req->target, "/health")) {
 		snprintf(fields, sizeof(fields), "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%d\r\n",
 			 target_id, slots);
-		return http_answer(fd, 200, fields, "");
+		return http_answer(fd, is_healthy() ? 200 : 503, fields, "");
 	}
 	http_req_field(req, "X-Attempt-Id", id, sizeof(id));
 	http_req_field(req, "X-Expected-Instance", expected, sizeof(expected));
@@ -205,7 +218,7 @@
 	pthread_mutex_lock(&lock);
 	snprintf(current_state, sizeof(current_state), "%s", state);
 	pthread_mutex_unlock(&lock);
-	if (!*current_state)
+	if (!*current_state || !strcmp(current_state, "left"))
 		return;
 	snprintf(path, sizeof(path), "/instances/%s", target_id);
 	snprintf(body, sizeof(body),
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -1,4 +1,4 @@
-/* What a leaving target still gets after its node was paused. */
+/* What a leaving target still gets after its node was paused or restarted. */
 #include "mesh/target.h"
 
 #include "common/clock.h"
@@ -64,7 +64,8 @@
 	f->server.answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: x\r\n"
 			   "Content-Length: 0\r\n\r\n";
 	start_server(&f->server);
-	f->settings = (struct mesh_settings){.target_addr = f->server.addr, .drain_ms = DRAIN_MS};
+	f->settings = (struct mesh_settings){
+		.target_addr = f->server.addr, .drain_ms = DRAIN_MS, .first_start = true};
 	f->board = (struct board){.loop = f->server.loop, .settings = &f->settings};
 	f->board.messages.limit_bytes = 1024 * 1024;
 	f->target = target_create(&f->board, on_changed, f);
@@ -116,3 +117,99 @@
 	http_msg_destroy(job.msg);
 	target_destroy(f.target);
 }
+
+/* A target whose node was started again, and the target's late report. */
+static void start_again(struct fixture *f)
+{
+	start(f);
+	target_destroy(f->target);
+	f->settings.first_start = false;
+	f->target = target_create(&f->board, on_changed, f);
+}
+
+static void expect_not_used(struct fixture *f)
+{
+	struct ended_job job;
+
+	start_job(f->target, &job, "a", 500);
+	cr_assert(job.ended);
+	cr_assert_eq(job.result, JOB_NOT_RUN);
+	cr_assert_eq(f->server.n_requests, 0);
+	http_msg_destroy(job.msg);
+	target_destroy(f->target);
+}
+
+/*
+ * Guards against requests to a target that had left before its node was restarted, and whose report
+ * from before arrives late.
+ */
+Test(mesh_target, late_report_after_a_restart_does_not_put_the_target_into_use)
+{
+	struct fixture f = {0};
+
+	start_again(&f);
+	target_report(f.target, &f.report);
+	expect_not_used(&f);
+}
+
+/* Guards against a target that is not used again although it says that it is ready. */
+Test(mesh_target, confirmed_report_after_a_restart_puts_the_target_into_use)
+{
+	struct fixture f = {0};
+
+	start_again(&f);
+	target_report(f.target, &f.report);
+	cr_assert(target_needs_confirmation(f.target));
+	target_confirm(f.target, "t1", 0, clock_now_us());
+	cr_assert_not(target_needs_confirmation(f.target));
+	cr_assert_eq(target_status(f.target)->phase, TARGET_SERVING);
+	cr_assert_eq(target_status(f.target)->slots, 1);
+	target_destroy(f.target);
+}
+
+/* Guards against a health answer from before the target's leaving that undoes it. */
+Test(mesh_target, health_answer_from_before_the_leaving_confirms_nothing)
+{
+	struct fixture f = {0};
+	uint64_t asked_us;
+
+	start_again(&f);
+	asked_us = clock_now_us();
+	clock_sleep_ms(2);
+	target_leave(f.target, "t1");
+	target_confirm(f.target, "t1", 1, asked_us);
+	cr_assert_eq(target_status(f.target)->phase, TARGET_ABSENT);
+	target_report(f.target, &f.report);
+	target_confirm(f.target, "t1", 1, asked_us);
+	cr_assert_eq(target_status(f.target)->phase, TARGET_ABSENT);
+	target_destroy(f.target);
+}
+
+/* Guards against a drain time that begins anew with the first report after a restart. */
+Test(mesh_target, draining_target_gets_nothing_after_a_restart)
+{
+	struct fixture f = {0};
+
+	start_again(&f);
+	f.report.state = REPORTED_DRAINING;
+	target_report(f.target, &f.report);
+	expect_not_used(&f);
+}
+
+/* Guards against a new incarnation under the former id that is ignored for good. */
+Test(mesh_target, target_found_by_its_health_starts_again_under_its_id)
+{
+	struct fixture f = {0};
+
+	start_again(&f);
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	target_leave(f.target, "t1");
+	cr_assert_eq(target_status(f.target)->phase, TARGET_LEAVING);
+	clock_sleep_ms(2);
+	f.report.incarnation_start_ms = 5000;
+	target_report(f.target, &f.report);
+	cr_assert_eq(target_status(f.target)->phase, TARGET_LEAVING);
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	cr_assert_eq(target_status(f.target)->phase, TARGET_SERVING);
+	target_destroy(f.target);
+}
