Close a connection whose answer names no request

Cause: targets refuse without the request's id, so match by id does not help. Such a refusal was taken for the answer to the call that waited, and the connection was kept; the copy that a faulty target wrote on it later was taken for the next call's refusal.

Change: a call's match says whether an answer is its own, another's or names no request. An answer of the last kind ends its connection. Health requests, whose answers name no request, use a connection each: a copy of an earlier 200 would have confirmed a target that has left.

Why it works: on a connection in use no answer without an id has come before, so there is none of which a copy could be read.

--- a/mesh/target.c
+++ b/mesh/target.c
@@ -328,19 +328,15 @@
 	return answer->status >= 200 && answer->status < 300;
 }
 
-/* Tests whether an answer belongs to the job of a call. */
-static bool answer_matches_job(struct http_call *call, const struct http_msg *msg)
+static enum http_answer_match match_answer(struct http_call *call, const struct http_msg *msg)
 {
 	struct job *job = (struct job *)((char *)call - offsetof(struct job, call));
 	const char *id = http_msg_find_field(msg, platform_field_name(PLATFORM_FIELD_REQUEST_ID));
 
 	if (id)
-		return !strcmp(id, job->id);
-	/*
-	 * An answer without a request id is accepted only if it is a refusal; any other one could
-	 * belong to another request.
-	 */
-	return is_refusal(msg) && !is_success(msg);
+		return strcmp(id, job->id) ? HTTP_ANSWER_OTHER : HTTP_ANSWER_OWN;
+	/* Targets refuse without an id; any other answer without one may be to another request. */
+	return is_refusal(msg) && !is_success(msg) ? HTTP_ANSWER_UNNAMED : HTTP_ANSWER_OTHER;
 }
 
 static struct job *find_calling_job(const struct target *t, const char *call_id)
@@ -443,7 +439,7 @@
 	LIST_INSERT_HEAD(&t->running, job, running_link);
 	job->call = (struct http_call){
 		.done = on_answer,
-		.is_answer = answer_matches_job,
+		.match = match_answer,
 		.head = http_msg_is_head(job->msg),
 		.timeout_ms = time_left_ms + TARGET_ANSWER_MARGIN_MS,
 		.max_idle_ms = job->idempotent ? 0 : NON_IDEMPOTENT_IDLE_MAX_MS,
--- a/mesh/target_search.c
+++ b/mesh/target_search.c
@@ -99,7 +99,6 @@
 		return;
 	if (is_settled(s->board->target) || clock_now_us() >= s->until_us) {
 		timer_cancel(&s->timer);
-		conn_pool_drop_idle(s->pool);
 		return;
 	}
 	if (path && clock_now_us() >= s->next_us)
@@ -113,8 +112,8 @@
 		.limits = {.header_bytes = ANSWER_HEADER_MAX_BYTES,
 			   .body_bytes = ANSWER_BODY_MAX_BYTES},
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
-		.idle_ms = CALL_TIMEOUT_MS,
-		.idle_max = 1,
+		/* A health answer names no request: on a kept connection it could be an earlier one. */
+		.idle_max = 0,
 	};
 	struct target_search *s = xcalloc(1, sizeof(*s));
 
--- a/net/conn_pool.c
+++ b/net/conn_pool.c
@@ -225,11 +225,14 @@
 	return timeout_s && announced_us < limit_us ? announced_us : limit_us;
 }
 
-static void return_to_pool(struct pool_conn *pc, const struct http_msg *m)
+/* Keeps the connection for further calls if nothing is left on it of the call that m answered. */
+static void release_conn(struct pool_conn *pc, const struct http_msg *m,
+			 enum http_answer_match match)
 {
 	struct conn_pool *p = pc->pool;
 
-	if (!m->keep_alive || http_conn_unsent(pc->conn) || p->n_idle >= p->cfg.idle_max) {
+	if (match == HTTP_ANSWER_UNNAMED || !m->keep_alive || http_conn_unsent(pc->conn) ||
+	    p->n_idle >= p->cfg.idle_max) {
 		discard(pc);
 		return;
 	}
@@ -257,6 +260,7 @@
 {
 	struct pool_conn *pc = http_conn_owner(c);
 	struct http_call *call = pc->call;
+	enum http_answer_match match;
 
 	if (call && call->sent && m->status >= 100 && m->status < 200) {
 		skip_answer(pc, m);
@@ -274,11 +278,12 @@
 		}
 		return;
 	}
-	if (call->is_answer && !call->is_answer(call, m)) {
+	match = call->match ? call->match(call, m) : HTTP_ANSWER_OWN;
+	if (match == HTTP_ANSWER_OTHER) {
 		skip_answer(pc, m);
 		return;
 	}
-	return_to_pool(pc, m);
+	release_conn(pc, m, match);
 	end_call(call, HTTP_CALL_ANSWERED, m, 0);
 }
 
--- a/net/conn_pool.h
+++ b/net/conn_pool.h
@@ -21,16 +21,29 @@
 	HTTP_CALL_LOST,
 };
 
+/** Whether a received answer belongs to a call. */
+enum http_answer_match {
+	/** An answer to another request, which is skipped. */
+	HTTP_ANSWER_OTHER,
+	/** It names the request of the call. */
+	HTTP_ANSWER_OWN,
+	/**
+	 * It names no request. It is taken for the call's answer, and the connection is closed: a
+	 * copy of it that came later could not be told from the answer to the next call.
+	 */
+	HTTP_ANSWER_UNNAMED,
+};
+
 /** One call, embedded by its owner; it must stay valid until done is called or it is cancelled. */
 struct http_call {
 	/** Set by the owner. msg is the answer, owned by the callee; NULL with a negative err. */
 	void (*done)(struct http_call *call, enum http_call_result result, struct http_msg *msg,
 		     int err);
 	/**
-	 * Optional: returns false for an answer to another request, which is then skipped. The call
-	 * is lost if a server sends many of them.
+	 * Optional; without it each answer is the call's own. The call is lost if a server sends
+	 * many answers to other requests.
 	 */
-	bool (*is_answer)(struct http_call *call, const struct http_msg *msg);
+	enum http_answer_match (*match)(struct http_call *call, const struct http_msg *msg);
 	/**
 	 * Time after sending at which an unanswered call ends with -ETIMEDOUT; 0 for none.
 	 * Connecting is limited by conn_pool_cfg.connect_timeout_ms instead.
--- a/tests/unit/fake_server.h
+++ b/tests/unit/fake_server.h
@@ -19,7 +19,7 @@
 	/** Sent first for each request; then endless is sent until the peer closes. */
 	const char *answer, *endless;
 	char target[512];
-	uint32_t n_requests, n_open;
+	uint32_t n_requests, n_accepted, n_open;
 	struct timer *timer;
 	struct http_conn *conns[64];
 	uint32_t n_conns;
@@ -73,8 +73,10 @@
 	const struct http_limits limits = {.header_bytes = 4096, .body_bytes = 4096};
 
 	cr_assert_eq(status, 0);
-	if (http_conn_accept(listener, &server_ops, &limits, s))
-		s->n_open++;
+	if (!http_conn_accept(listener, &server_ops, &limits, s))
+		return;
+	s->n_accepted++;
+	s->n_open++;
 }
 
 /* Sends more on each connection whose peer has read what came before. */
--- a/tests/unit/mesh_answers.c
+++ b/tests/unit/mesh_answers.c
@@ -17,11 +17,12 @@
 	bool ended;
 };
 
-static bool has_id(struct http_call *call, const struct http_msg *m)
+static enum http_answer_match match_id(struct http_call *call, const struct http_msg *m)
 {
 	const char *id = http_msg_find_field(m, "X-Id");
 
-	return id && !strcmp(id, ((struct id_call *)call)->id);
+	return id && !strcmp(id, ((struct id_call *)call)->id) ? HTTP_ANSWER_OWN
+							       : HTTP_ANSWER_OTHER;
 }
 
 static void on_call_done(struct http_call *call, enum http_call_result result, struct http_msg *m,
@@ -54,8 +55,8 @@
 {
 	struct buf b = {0};
 
-	*c = (struct id_call){
-		.call = {.done = on_call_done, .is_answer = has_id, .timeout_ms = 400}, .id = id};
+	*c = (struct id_call){.call = {.done = on_call_done, .match = match_id, .timeout_ms = 400},
+			      .id = id};
 	buf_printf(&b, "GET /%s HTTP/1.1\r\nHost: t\r\n\r\n", id);
 	conn_pool_send(pool, &c->call, &b);
 }
--- a/tests/unit/mesh_odd_input.c
+++ b/tests/unit/mesh_odd_input.c
@@ -250,11 +250,11 @@
 
 static struct calls *active;
 
-static bool belongs_to_another(struct http_call *call, const struct http_msg *m)
+static enum http_answer_match belongs_to_another(struct http_call *call, const struct http_msg *m)
 {
 	(void)call;
 	(void)m;
-	return false;
+	return HTTP_ANSWER_OTHER;
 }
 
 static void on_call_done(struct http_call *call, enum http_call_result result, struct http_msg *m,
@@ -299,7 +299,7 @@
 		struct buf b = {0};
 
 		c.calls[i] = (struct http_call){.done = on_call_done,
-						.is_answer = foreign ? belongs_to_another : NULL,
+						.match = foreign ? belongs_to_another : NULL,
 						.timeout_ms = CALL_TIMEOUT_MS};
 		buf_append_text(&b, "GET / HTTP/1.1\r\nHost: t\r\n\r\n");
 		conn_pool_send(pool, &c.calls[i], &b);
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -1,4 +1,7 @@
-/* What a leaving target still gets after its node was paused or restarted. */
+/*
+ * What a leaving target still gets after its node was paused or restarted, and which answers of a
+ * faulty target are taken for a job's.
+ */
 #include "mesh/target.h"
 
 #include "common/clock.h"
@@ -213,3 +216,38 @@
 	cr_assert_eq(target_status(f.target)->phase, TARGET_SERVING);
 	target_destroy(f.target);
 }
+
+#define REFUSAL "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+#define ANSWER_B                                                     \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: b\r\nX-Server-Seal: x\r\n" \
+	"Content-Length: 0\r\n\r\n"
+
+/*
+ * Guards against a refusal that a faulty target writes once more, where the answer to the next
+ * request on the connection is due: that request runs, and would be reported as not run.
+ */
+Test(mesh_target, second_copy_of_a_refusal_is_not_the_next_answer)
+{
+	struct fixture f = {0};
+	struct ended_job first, second;
+
+	start(&f);
+	f.server.answer = REFUSAL;
+	start_job(f.target, &first, "a", 1000);
+	run_until(&f.server, &first.ended);
+	cr_assert_eq(first.result, JOB_NOT_RUN);
+	cr_assert_eq(first.reason, JOB_REASON_TARGET_REFUSED);
+	f.server.answer = "";
+	start_job(f.target, &second, "b", 1000);
+	while (f.server.n_requests < 2)
+		uv_run(f.server.loop, UV_RUN_ONCE);
+	/* Unless the connection was closed, the copy comes on it. */
+	if (f.server.n_accepted == 1)
+		send_text(f.server.last, REFUSAL);
+	send_text(f.server.last, ANSWER_B);
+	run_until(&f.server, &second.ended);
+	cr_assert_eq(second.result, JOB_ANSWERED);
+	http_msg_destroy(first.msg);
+	http_msg_destroy(second.msg);
+	target_destroy(f.target);
+}
