End a stopping process only once its answers are sent

Cause: a connection that ends with its answer leaves the caller server's list when the answer is queued, so its unsent bytes no longer kept the node from being idle. Answers to other nodes were never counted.

Change: connections count their unsent bytes in the budget of messages that they share, until written or closed; a stopping node is idle when none are left. The line node.stopped says how many were.

Why it works: the count goes with the connection and not with its owner, so it holds for finished connections and for all kinds of peers.

--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -260,7 +260,7 @@
 	const struct caller_conn *c;
 
 	LIST_FOREACH(c, &s->callers, link)
-	if (c->head || http_conn_unsent(c->conn) || http_conn_msg_begun_us(c->conn))
+	if (c->head || http_conn_msg_begun_us(c->conn))
 		return false;
 	return true;
 }
--- a/mesh/caller.h
+++ b/mesh/caller.h
@@ -22,7 +22,7 @@
  */
 void caller_server_sweep(struct caller_server *s);
 
-/** True if no connection has an unanswered or partly received request or unsent bytes. */
+/** True if no connection has an unanswered or partly received request. */
 bool caller_server_idle(const struct caller_server *s);
 
 #endif
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -81,17 +81,24 @@
 	EVENT(EVENT_INFO, "node", "stopped",
 	      EVENT_NUMBER("after_ms", (clock_now_us() - n->stop_started_us) / BR_US_PER_MS),
 	      EVENT_NUMBER("unfinished",
-			   request_active_count() + peer_server_active_jobs(n->peers)));
+			   request_active_count() + peer_server_active_jobs(n->peers)),
+	      EVENT_NUMBER("unsent_bytes", n->board.messages.unsent_bytes));
 	event_log_flush();
 	exit(0);
 }
 
+/* Tests whether callers and other nodes have all that they asked for. */
+static bool is_idle(const struct node *n)
+{
+	return !request_active_count() && !peer_server_active_jobs(n->peers) &&
+	       caller_server_idle(n->callers) && !n->board.messages.unsent_bytes;
+}
+
 static void on_stop_check(void *arg)
 {
 	struct node *n = arg;
 	uint64_t now_us = clock_now_us(), ms = (now_us - n->stop_started_us) / BR_US_PER_MS;
-	bool idle = !request_active_count() && !peer_server_active_jobs(n->peers) &&
-		    caller_server_idle(n->callers);
+	bool idle = is_idle(n);
 
 	if (now_us >= n->board.stop_until_us)
 		end_process(n);
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -350,12 +350,26 @@
 	return c->owner;
 }
 
+static void add_unsent(struct http_conn *c, size_t bytes)
+{
+	c->unsent += bytes;
+	if (c->limits.budget)
+		c->limits.budget->unsent_bytes += bytes;
+}
+
+static void remove_unsent(struct http_conn *c, size_t bytes)
+{
+	c->unsent -= bytes;
+	if (c->limits.budget)
+		c->limits.budget->unsent_bytes -= bytes;
+}
+
 static void on_written(uv_write_t *req, int status)
 {
 	struct write_op *w = req->data;
 	struct http_conn *c = w->conn;
 
-	c->unsent -= w->remaining;
+	remove_unsent(c, w->remaining);
 	buf_free(&w->bytes);
 	free(w);
 	if (c->closing)
@@ -390,10 +404,10 @@
 	w->remaining = bytes->len - (size_t)sent;
 	w->req.data = w;
 	*bytes = (struct buf){0};
-	c->unsent += w->remaining;
+	add_unsent(c, w->remaining);
 	chunk = uv_buf_init(w->bytes.data + sent, (unsigned int)w->remaining);
 	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &chunk, 1, on_written)) {
-		c->unsent -= w->remaining;
+		remove_unsent(c, w->remaining);
 		buf_free(&w->bytes);
 		free(w);
 	}
--- a/net/http_msg.h
+++ b/net/http_msg.h
@@ -15,9 +15,12 @@
 	uint32_t name, value;
 };
 
-/** Limit of the bytes of all received messages that share it. */
+/** Bytes that the connections that share it hold. */
 struct http_budget {
+	/** Bytes of received messages, and their limit. */
 	size_t held_bytes, limit_bytes;
+	/** Bytes that wait to be sent, also on connections that their owners have finished. */
+	size_t unsent_bytes;
 };
 
 struct http_msg {
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -21,6 +21,7 @@
 #define REPORT_INTERVAL_MS 300
 #define SLOW_MS 400
 #define HANG_S 30
+#define LONG_ANSWER_BYTES 9000000
 #define HANG_POLL_MS 20
 
 static const char *target_addr, *report_addr, *target_id = "i-1", *service = "svc";
@@ -97,6 +98,17 @@
 	return healthy;
 }
 
+/* Sends an answer that is too long for the buffers of the kernel. */
+static bool send_long_answer(int fd, const char *fields)
+{
+	static const char body[LONG_ANSWER_BYTES];
+	char head[512];
+	int n = snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n",
+			 fields, sizeof(body));
+
+	return http_send(fd, head, (size_t)n) && http_send(fd, body, sizeof(body));
+}
+
 /* The end of the path selects the target's behaviour. */
 static bool handle_target(int fd, const struct http_req *req)
 {
@@ -126,6 +138,8 @@
 	}
 	if (has_suffix(req->target, "/slow"))
 		sleep_ms(SLOW_MS);
+	if (has_suffix(req->target, "/long"))
+		return send_long_answer(fd, fields);
 	if (has_suffix(req->target, "/error") || has_suffix(req->target, "/error-or-shed"))
 		return http_answer(fd, 500, fields, "failed");
 	if (has_suffix(req->target, "/unsealed")) {
--- a/tests/scripts/command.c
+++ b/tests/scripts/command.c
@@ -377,6 +377,7 @@
 	{"await", 5, cmd_await},
 	{"number", 3, cmd_number},
 	{"raw", 4, cmd_raw},
+	{"slow", 5, cmd_slow},
 };
 
 void command_run(struct script_ctx *ctx, int argc, char **argv, const char *heredoc)
--- a/tests/scripts/raw.c
+++ b/tests/scripts/raw.c
@@ -10,8 +10,13 @@
 #include <unistd.h>
 
 #define RESPONSE_TIMEOUT_MS 20000
+/* Small, so that what a slow reader has not read yet stays with the sender. */
+#define SLOW_RECEIVE_BUFFER_BYTES 65536
+#define SLOW_INTERVAL_MS 20
+#define SLOW_MAX_BYTES (32UL << 20)
 
-static int connect_to(const char *address)
+/* receive_buffer_bytes is 0 for the kernel's choice. */
+static int connect_to(const char *address, int receive_buffer_bytes)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET};
 	const char *colon = strchr(address, ':');
@@ -25,6 +30,9 @@
 	if (inet_pton(AF_INET, ip, &sa.sin_addr) != 1)
 		return -1;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd >= 0 && receive_buffer_bytes)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+			   sizeof(receive_buffer_bytes));
 	if (fd >= 0 && connect(fd, (struct sockaddr *)&sa, sizeof(sa))) {
 		close(fd);
 		return -1;
@@ -56,6 +64,22 @@
 	}
 }
 
+static void send_unescaped(int fd, const char *text)
+{
+	struct text data = {0};
+	size_t sent = 0;
+
+	unescape(text, &data);
+	while (sent < data.len) {
+		ssize_t n = send(fd, data.data + sent, data.len - sent, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			break;
+		sent += (size_t)n;
+	}
+	free(data.data);
+}
+
 /*
  * Reads until buf is full, the peer closes the connection or the time limit passes. Returns the
  * number of bytes read.
@@ -81,10 +105,8 @@
 
 void cmd_raw(struct script_ctx *ctx, int argc, char **argv, const char *heredoc)
 {
-	struct text data = {0};
 	char response[13] = "";
-	size_t sent = 0;
-	int fd = connect_to(argv[2]);
+	int fd = connect_to(argv[2], 0);
 	size_t n;
 
 	(void)argc;
@@ -93,20 +115,79 @@
 		text_printf(&ctx->out, "%s -> no connection\n", argv[1]);
 		return;
 	}
-	unescape(argv[3], &data);
-	while (sent < data.len) {
-		ssize_t ret = send(fd, data.data + sent, data.len - sent, MSG_NOSIGNAL);
-
-		if (ret <= 0)
-			break;
-		sent += (size_t)ret;
-	}
+	send_unescaped(fd, argv[3]);
 	shutdown(fd, SHUT_WR);
 	n = read_response(fd, response, sizeof(response) - 1);
 	close(fd);
-	free(data.data);
 	if (n == sizeof(response) - 1 && !strncmp(response, "HTTP/1.", 7))
 		text_printf(&ctx->out, "%s -> %s\n", argv[1], response + 9);
 	else
 		text_printf(&ctx->out, "%s -> no HTTP answer\n", argv[1]);
 }
+
+/* Length of the answer with its body; fallback while its head is not complete. */
+static size_t answer_bytes(const char *buf, size_t used, size_t fallback)
+{
+	const char *end = memmem(buf, used, "\r\n\r\n", 4);
+	const char *field = end ? memmem(buf, (size_t)(end - buf), "Content-Length: ", 16) : NULL;
+
+	return field ? (size_t)(end - buf) + 4 + strtoul(field + 16, NULL, 10) : fallback;
+}
+
+/*
+ * Reads at the given rate into buf until it is full, the peer closes the connection, the answer that
+ * its head announces is there, or the time limit passes. Returns the number of bytes read.
+ */
+static size_t read_slowly(int fd, char *buf, size_t bytes, size_t bytes_per_s, size_t *announced)
+{
+	uint64_t begun_us = clock_now_us(), now_us;
+	size_t used = 0;
+
+	*announced = bytes;
+	while (used < *announced) {
+		size_t due;
+		ssize_t n;
+
+		clock_sleep_ms(SLOW_INTERVAL_MS);
+		now_us = clock_now_us();
+		if (now_us - begun_us > RESPONSE_TIMEOUT_MS * 1000ULL)
+			break;
+		due = (size_t)((now_us - begun_us) * bytes_per_s / 1000000);
+		if (due > *announced)
+			due = *announced;
+		if (due <= used)
+			continue;
+		n = recv(fd, buf + used, due - used, 0);
+		if (n <= 0)
+			break;
+		used += (size_t)n;
+		if (*announced == bytes)
+			*announced = answer_bytes(buf, used, bytes);
+	}
+	return used;
+}
+
+void cmd_slow(struct script_ctx *ctx, int argc, char **argv, const char *heredoc)
+{
+	int fd = connect_to(argv[2], SLOW_RECEIVE_BUFFER_BYTES);
+	char *buf = malloc(SLOW_MAX_BYTES + 1);
+	size_t n, announced;
+
+	(void)argc;
+	(void)heredoc;
+	if (fd < 0 || !buf) {
+		text_printf(&ctx->out, "%s -> no connection\n", argv[1]);
+		free(buf);
+		return;
+	}
+	send_unescaped(fd, argv[4]);
+	n = read_slowly(fd, buf, SLOW_MAX_BYTES, strtoul(argv[3], NULL, 10), &announced);
+	buf[n] = '\0';
+	close(fd);
+	if (n < 12 || strncmp(buf, "HTTP/1.", 7) != 0)
+		text_printf(&ctx->out, "%s -> no HTTP answer\n", argv[1]);
+	else
+		text_printf(&ctx->out, "%s -> %.3s, %s\n", argv[1], buf + 9,
+			    n == announced ? "whole" : "cut");
+	free(buf);
+}
--- a/tests/scripts/script.h
+++ b/tests/scripts/script.h
@@ -158,6 +158,7 @@
 
 /* raw.c */
 void cmd_raw(struct script_ctx *ctx, int argc, char **argv, const char *heredoc);
+void cmd_slow(struct script_ctx *ctx, int argc, char **argv, const char *heredoc);
 
 /* command.c */
 /** Runs one command; heredoc is the text of its "<<TAG", or NULL. */
