Refuse in a planned stop what would be cut at its end

Cause: only callers' requests were bounded by the stop, by a fixed time and by their deadline. Jobs of other nodes had no bound.

Change: br_stop_takes_request() and br_stop_can_finish() take work only if 95 in 100 of the work of its kind so far would end before the process; other work is refused as not run. Calls of running jobs are still taken, since a refused call fails the work above it.

Why it works: a refusal before the work is passed on is true, and the other node tries another target.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -8,6 +8,7 @@
 
 #include "briarreel/balance.h"
 #include "briarreel/pause.h"
+#include "briarreel/stop.h"
 #include "mesh/histogram.h"
 #include "mesh/model.h"
 #include "net/conn_pool.h"
@@ -106,10 +107,7 @@
 	void *on_progress_ctx;
 	/** SIGTERM was received. */
 	bool stopping;
-	/** The process ends at this time at the latest. */
-	uint64_t stop_until_us;
-	/** New requests are refused, since callers have had time to notice the stop. */
-	bool refuses_new_requests;
+	struct br_stop stop;
 	/** Tells how long messages may have waited while the process did not run. */
 	struct br_pause pause;
 	/** Bytes of requests and answers that this node holds, and their limit. */
@@ -139,6 +137,15 @@
 	b->counters[c]++;
 }
 
+/* Share of the durations so far that the expected one covers, per mille. */
+#define BOARD_EXPECTED_PERMILLE 950
+
+/** Time in which most work of a kind has ended since the process started; 0 if there was none. */
+static inline uint64_t board_expected_us(const struct board *b, enum time_kind kind)
+{
+	return histogram_quantile_us(&b->times[kind], BOARD_EXPECTED_PERMILLE);
+}
+
 /** True while the keeper reports changes to this node, so that it need not watch the store. */
 static inline bool board_follows_keeper(const struct board *b, uint64_t now_us)
 {
--- a/mesh/histogram.c
+++ b/mesh/histogram.c
@@ -18,6 +18,20 @@
 	h->sum_us += time_us;
 }
 
+uint64_t histogram_quantile_us(const struct histogram *h, uint32_t permille)
+{
+	uint64_t n = 0, below = 0;
+
+	for (int i = 0; i <= HISTOGRAM_BOUNDS; i++)
+		n += h->counts[i];
+	for (int i = 0; n && i < HISTOGRAM_BOUNDS; i++) {
+		below += h->counts[i];
+		if (below * 1000 >= n * permille)
+			return bounds_us[i];
+	}
+	return n ? bounds_us[HISTOGRAM_BOUNDS - 1] : 0;
+}
+
 void histogram_write(const struct histogram *h, const char *name, const char *label,
 		     struct buf *out)
 {
--- a/mesh/histogram.h
+++ b/mesh/histogram.h
@@ -20,6 +20,12 @@
 
 void histogram_record(struct histogram *h, uint64_t time_us);
 
+/**
+ * Upper bound of the bucket with the given quantile (per mille) of the durations; 0 if there are
+ * none, the last bound for longer ones.
+ */
+uint64_t histogram_quantile_us(const struct histogram *h, uint32_t permille);
+
 /** Appends the samples in seconds; label is empty or a pair like outcome="answered". */
 void histogram_write(const struct histogram *h, const char *name, const char *label,
 		     struct buf *out);
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -33,6 +33,8 @@
 #define STOP_DETECTED_MS 2300
 /* The process exits this long before the platform would kill it. */
 #define STOP_MARGIN_MS 350
+/* Requests and jobs are answered at least this long before the process exits. */
+#define STOP_ANSWER_MS 150
 
 struct node {
 	struct board board;
@@ -48,7 +50,8 @@
 	struct service_server *service;
 	uv_signal_t term, hup;
 	uv_prepare_t before_poll;
-	uint64_t stop_started_us;
+	/** A stopping process ends at this time at the latest. */
+	uint64_t exit_us;
 	/** Modification time of the settings file at the last check; 0 before the first one. */
 	struct timespec settings_mtime;
 	bool leave_started, leave_done;
@@ -79,7 +82,7 @@
 static void end_process(struct node *n)
 {
 	EVENT(EVENT_INFO, "node", "stopped",
-	      EVENT_NUMBER("after_ms", (clock_now_us() - n->stop_started_us) / BR_US_PER_MS),
+	      EVENT_NUMBER("after_ms", (clock_now_us() - n->board.stop.started_us) / BR_US_PER_MS),
 	      EVENT_NUMBER("unfinished",
 			   request_active_count() + peer_server_active_jobs(n->peers)),
 	      EVENT_NUMBER("unsent_bytes", n->board.messages.unsent_bytes));
@@ -97,15 +100,12 @@
 static void on_stop_check(void *arg)
 {
 	struct node *n = arg;
-	uint64_t now_us = clock_now_us(), ms = (now_us - n->stop_started_us) / BR_US_PER_MS;
+	uint64_t now_us = clock_now_us();
 	bool idle = is_idle(n);
 
-	if (now_us >= n->board.stop_until_us)
+	if (now_us >= n->exit_us)
 		end_process(n);
-	/* Later requests might not finish in time; calls of running jobs are still accepted. */
-	if (ms >= STOP_DETECTED_MS)
-		n->board.refuses_new_requests = true;
-	if (idle && ms >= STOP_DETECTED_MS && !n->leave_started) {
+	if (idle && now_us >= n->board.stop.noticed_us && !n->leave_started) {
 		n->leave_started = true;
 		presence_leave(n->presence, on_leave_done, n);
 	}
@@ -114,9 +114,16 @@
 		end_process(n);
 }
 
+/* Time of the stop's start plus the given time, less a margin; the start if the margin is longer. */
+static uint64_t before_end_us(uint64_t start_us, uint64_t grace_ms, uint64_t margin_ms)
+{
+	return start_us + (grace_ms > margin_ms ? (grace_ms - margin_ms) * BR_US_PER_MS : 0);
+}
+
 static void on_term(uv_signal_t *handle, int signum)
 {
 	struct node *n = handle->data;
+	uint64_t now_us = clock_now_us(), grace_ms = n->settings.grace_ms;
 
 	(void)signum;
 	if (n->board.stopping)
@@ -124,11 +131,12 @@
 	EVENT(EVENT_INFO, "node", "stopping", EVENT_NUMBER("requests", request_active_count()),
 	      EVENT_NUMBER("jobs", peer_server_active_jobs(n->peers)));
 	n->board.stopping = true;
-	n->stop_started_us = clock_now_us();
-	n->board.stop_until_us = n->stop_started_us +
-				 (n->settings.grace_ms > STOP_MARGIN_MS
-					  ? (n->settings.grace_ms - STOP_MARGIN_MS) * BR_US_PER_MS
-					  : 0);
+	n->exit_us = before_end_us(now_us, grace_ms, STOP_MARGIN_MS);
+	n->board.stop = (struct br_stop){
+		.started_us = now_us,
+		.noticed_us = now_us + STOP_DETECTED_MS * BR_US_PER_MS,
+		.until_us = before_end_us(now_us, grace_ms, STOP_MARGIN_MS + STOP_ANSWER_MS),
+	};
 	presence_write(n->presence);
 	timer_repeat(n->board.loop, STOP_CHECK_MS, on_stop_check, n);
 }
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -23,8 +23,6 @@
 #define WORK_MARGIN_MS 15
 /* Time after the request's timeout in which a target's answer to its deadline is still awaited. */
 #define TIMEOUT_MARGIN_MS 60
-/* A stopping node answers its requests at least this long before its process ends. */
-#define STOP_ANSWER_MS 150
 /* Attempts that may end without the request having run before the request is refused. */
 #define ATTEMPTS_NOT_RUN_MAX 3
 /*
@@ -522,10 +520,9 @@
 /* Time from the request's arrival in which a stopping node can still answer it. */
 static uint64_t time_until_stop_ms(const struct request *r)
 {
-	uint64_t until_us = r->board->stop_until_us;
-	uint64_t ms = until_us > r->arrived_us ? (until_us - r->arrived_us) / BR_US_PER_MS : 0;
+	uint64_t until_us = r->board->stop.until_us;
 
-	return ms > STOP_ANSWER_MS ? ms - STOP_ANSWER_MS : 0;
+	return until_us > r->arrived_us ? (until_us - r->arrived_us) / BR_US_PER_MS : 0;
 }
 
 static void set_deadlines(struct request *r)
@@ -611,7 +608,10 @@
 		return;
 	}
 	inherit_from_calling_job(r);
-	if (r->board->refuses_new_requests && !r->is_call) {
+	/* Calls of running jobs are still taken: without them the jobs would fail. */
+	if (!r->is_call &&
+	    !br_stop_takes_request(&r->board->stop, board_expected_us(r->board, TIME_ANSWERED),
+				   clock_now_us())) {
 		refuse_request(r, "the node is stopping");
 		return;
 	}
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -481,7 +481,8 @@
 	close_if_drained(t, now_us);
 	if (t->status.phase == TARGET_ABSENT || strcmp(t->status.id, job->target) != 0)
 		return JOB_REASON_NO_TARGET;
-	if (t->status.phase == TARGET_CLOSED)
+	if (t->status.phase == TARGET_CLOSED ||
+	    !br_stop_can_finish(&t->board->stop, board_expected_us(t->board, TIME_TARGET), now_us))
 		return JOB_REASON_DRAINING;
 	return now_us >= job->deadline_us ? JOB_REASON_QUEUE_REFUSED : JOB_REASON_NONE;
 }
