Show with a real node that bytes without end are bounded

Report of other operators: a faulty target sent bytes that are no answer without end, and the node that had called it ran out of memory. Here it cannot happen: one message may take a quarter of the budget, and all together a sixth of the memory that the settings allow.

Metrics: message_bytes, received and unsent, so that what a node holds can be seen.

--- a/mesh/metrics.c
+++ b/mesh/metrics.c
@@ -81,6 +81,12 @@
 		   load.queued);
 	buf_printf(out, "# TYPE briarreel_target_phase gauge\nbriarreel_target_phase %d\n",
 		   (int)target_status(b->target)->phase);
+	buf_printf(out,
+		   "# HELP briarreel_message_bytes Bytes of messages that the node holds.\n"
+		   "# TYPE briarreel_message_bytes gauge\n"
+		   "briarreel_message_bytes{state=\"received\"} %zu\n"
+		   "briarreel_message_bytes{state=\"unsent\"} %zu\n",
+		   b->messages.held_bytes, b->messages.unsent_bytes);
 	buf_printf(out, "# TYPE briarreel_keeper gauge\nbriarreel_keeper %d\n", b->is_keeper);
 	buf_printf(out, "# TYPE briarreel_members gauge\nbriarreel_members %zu\n",
 		   members_count(b->members));
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -109,6 +109,19 @@
 	return http_send(fd, head, (size_t)n) && http_send(fd, body, sizeof(body));
 }
 
+/* Sends bytes until the node closes the connection. */
+static bool send_endlessly(int fd, const char *first)
+{
+	char bytes[4096];
+
+	memset(bytes, 'x', sizeof(bytes));
+	if (!http_send(fd, first, strlen(first)))
+		return false;
+	while (http_send(fd, bytes, sizeof(bytes)))
+		;
+	return false;
+}
+
 /* The end of the path selects the target's behaviour. */
 static bool handle_target(int fd, const struct http_req *req)
 {
@@ -138,6 +151,12 @@
 	}
 	if (has_suffix(req->target, "/slow"))
 		sleep_ms(SLOW_MS);
+	if (has_suffix(req->target, "/endless-head"))
+		return send_endlessly(fd, "HTTP/1.1 200 OK\r\nX-Field: ");
+	if (has_suffix(req->target, "/endless-body"))
+		return send_endlessly(fd, "HTTP/1.1 200 OK\r\n\r\n");
+	if (has_suffix(req->target, "/endless-bytes"))
+		return send_endlessly(fd, "x");
 	if (has_suffix(req->target, "/long"))
 		return send_long_answer(fd, fields);
 	if (has_suffix(req->target, "/error") || has_suffix(req->target, "/error-or-shed"))
