Compare a request's whole id

What callers saw: 504 at the timeout for requests with ids of 80 characters or more that the target beside the entry node had answered.

Cause: the entry node cut the id to 79 characters; the answer bears the whole one, and was taken for another request's.

Change: a request refers to the id in its message.

Evidence: node-answers, with an id of 120 characters, had 504 with the programs before and has 200 now.

--- a/mesh/request.c
+++ b/mesh/request.c
@@ -48,7 +48,8 @@
 	const struct mesh_account *account;
 	request_done_cb done;
 	void *ctx;
-	char id[BR_REQUEST_ID_BYTES];
+	/** The caller's id, part of msg; "" if it sent none. */
+	const char *id;
 	uint64_t arrived_us, caller_deadline_us, deadline_us, queue_until_us;
 	uint32_t service;
 	struct quota_wait quota_wait;
@@ -642,7 +643,7 @@
 	r->arrived_us -= br_pause_waited_us(&board->pause, r->arrived_us);
 	r->caller_deadline_us = r->arrived_us + TIME_LEFT_DEFAULT_MS * BR_US_PER_MS;
 	id = request_field(r, PLATFORM_FIELD_REQUEST_ID);
-	br_copy_text(r->id, sizeof(r->id), id ? id : "");
+	r->id = id ? id : "";
 	n_active++;
 	board_count(board, COUNT_REQUESTS);
 	process(r);
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -17,7 +17,7 @@
 #include <unistd.h>
 
 #define RUNS_MAX 4096
-#define ID_BYTES 80
+#define ID_BYTES 256
 #define REPORT_INTERVAL_MS 300
 #define SLOW_MS 400
 #define HANG_S 30
@@ -102,7 +102,7 @@
 static bool send_long_answer(int fd, const char *fields)
 {
 	static const char body[LONG_ANSWER_BYTES];
-	char head[512];
+	char head[1024];
 	int n = snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n",
 			 fields, sizeof(body));
 
@@ -125,7 +125,7 @@
 /* The end of the path selects the target's behaviour. */
 static bool handle_target(int fd, const struct http_req *req)
 {
-	char id[ID_BYTES] = "", expected[ID_BYTES] = "", fields[256], text[512];
+	char id[ID_BYTES] = "", expected[ID_BYTES] = "", fields[512], text[1024];
 
 	if (!strcmp(req->target, "/health")) {
 		snprintf(fields, sizeof(fields), "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%d\r\n",
