Take only reports for the service and address of the settings

Cause: a report of another writer, with the target's id and a high sequence number, was taken as the target's own; the target's later reports, draining among them, then looked overtaken.

Change: a report counts only if it names the service and the address of the settings; another one is answered 400 and logged.

Evidence: the new unit test mesh_target, report_for_another_service_..., fails with the check taken out and passes with it. 276 unit and randomised tests and 21 scripted tests pass.

--- a/mesh/service.c
+++ b/mesh/service.c
@@ -65,7 +65,10 @@
 		return;
 	}
 	br_copy_text(report.id, sizeof(report.id), id);
-	target_report(board->target, &report);
+	if (!target_report(board->target, &report)) {
+		send_json_answer(sc, 400);
+		return;
+	}
 	if (target_needs_confirmation(board->target))
 		target_search_start(board->target_search);
 	send_json_answer(sc, 200);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -248,7 +248,17 @@
 	t->has_unconfirmed = true;
 }
 
-void target_report(struct target *t, const struct target_report *r)
+/* Another writer may send reports as well. */
+static bool is_own_report(const struct target *t, const struct target_report *r)
+{
+	const struct mesh_settings *set = t->board->settings;
+
+	return !strcmp(r->service, set->service) &&
+	       r->addr.sin_addr.s_addr == set->target_addr.sin_addr.s_addr &&
+	       r->addr.sin_port == set->target_addr.sin_port;
+}
+
+bool target_report(struct target *t, const struct target_report *r)
 {
 	const struct br_incarnation report = incarnation_of(r);
 	const struct br_incarnation_view view = {
@@ -257,6 +267,13 @@
 		.history_complete = t->history_complete,
 	};
 
+	if (!is_own_report(t, r)) {
+		EVENT(EVENT_WARNING, "target", "report_of_another", EVENT_TEXT("target", r->id),
+		      EVENT_TEXT("service", r->service),
+		      EVENT_TEXT("expected", t->board->settings->service),
+		      EVENT_NUMBER("port", ntohs(r->addr.sin_port)));
+		return false;
+	}
 	switch (br_report_order(&view, &report, r->state == REPORTED_READY)) {
 	case BR_REPORT_OUTDATED:
 		EVENT(EVENT_INFO, "target", "report_outdated", EVENT_TEXT("target", r->id),
@@ -273,6 +290,7 @@
 		set_unconfirmed(t, r);
 		break;
 	}
+	return true;
 }
 
 bool target_needs_confirmation(const struct target *t)
--- a/mesh/target.h
+++ b/mesh/target.h
@@ -48,9 +48,10 @@
 /**
  * Processes a report of the target. Reports older than the known state are ignored, and so are
  * further reports of an incarnation in TARGET_CLOSED and cold_ms of all reports but the first. A
- * report that may have been overtaken by the target's leaving waits for target_confirm().
+ * report that may have been overtaken by the target's leaving waits for target_confirm(). Returns
+ * false for a report that is not of the target that the settings name.
  */
-void target_report(struct target *t, const struct target_report *r);
+bool target_report(struct target *t, const struct target_report *r);
 
 /** Tests whether a report waits for target_confirm(). */
 bool target_needs_confirmation(const struct target *t);
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -67,13 +67,19 @@
 	f->server.answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: x\r\n"
 			   "Content-Length: 0\r\n\r\n";
 	start_server(&f->server);
-	f->settings = (struct mesh_settings){
-		.target_addr = f->server.addr, .drain_ms = DRAIN_MS, .first_start = true};
+	f->settings = (struct mesh_settings){.target_addr = f->server.addr,
+					     .service = "s",
+					     .drain_ms = DRAIN_MS,
+					     .first_start = true};
 	f->board = (struct board){.loop = f->server.loop, .settings = &f->settings};
 	f->board.messages.limit_bytes = 1024 * 1024;
 	f->target = target_create(&f->board, on_changed, f);
-	f->report = (struct target_report){
-		.id = "t1", .service = "s", .state = REPORTED_READY, .slots = 1, .sequence = 1};
+	f->report = (struct target_report){.id = "t1",
+					   .service = "s",
+					   .addr = f->server.addr,
+					   .state = REPORTED_READY,
+					   .slots = 1,
+					   .sequence = 1};
 	target_report(f->target, &f->report);
 }
 
@@ -217,6 +223,31 @@
 	target_destroy(f.target);
 }
 
+/*
+ * Guards against a report of another writer, for a service or an address that is not the target's,
+ * behind whose sequence number the target's own leaving would be overlooked.
+ */
+Test(mesh_target, report_for_another_service_or_address_is_left_out)
+{
+	struct fixture f = {0};
+	struct target_report foreign;
+
+	start(&f);
+	foreign = f.report;
+	foreign.sequence = 99;
+	br_copy_text(foreign.service, sizeof(foreign.service), "other");
+	cr_assert_not(target_report(f.target, &foreign));
+	foreign = f.report;
+	foreign.sequence = 99;
+	foreign.addr.sin_port ^= 1;
+	cr_assert_not(target_report(f.target, &foreign));
+	f.report.sequence = 2;
+	f.report.state = REPORTED_DRAINING;
+	cr_assert(target_report(f.target, &f.report));
+	cr_assert_eq(target_status(f.target)->phase, TARGET_LEAVING);
+	target_destroy(f.target);
+}
+
 #define REFUSAL "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 #define ANSWER_B                                                     \
 	"HTTP/1.1 200 OK\r\nX-Attempt-Id: b\r\nX-Server-Seal: x\r\n" \
