Charge a node for what it spent of its part while the keeper granted it

Cause: a node uses its part of a rate 120 ms after the keeper falls silent, credited from the keeper's last answer, and the keeper reserves the part only after a second. Both spend it in between, with each cut anew.

Change: what a node spends of its part within a second after the last answer is its debt. Requests tell uncharged debts, and the keeper takes them off the account's tokens. They are told as counts, with what was charged before, so that a lost or repeated datagram or another keeper charges them once. A node's first request is not charged, as its part was reserved until then.

Why it works: each token of a part counts once in the keeper's bucket, so the excess of one cut is bounded and none adds up over several.

--- a/include/briarreel/quota.h
+++ b/include/briarreel/quota.h
@@ -8,7 +8,8 @@
  * no longer be the only one (br_quota_allocator_set_exclusive()). Grants expire, so
  * that tokens lost with a node or a message cannot be spent later. A node that cannot reach the
  * allocator spends an equal part of the rate. The allocator reserves that part for each node from
- * which it receives no requests. Not thread-safe; the caller locks.
+ * which it receives no requests for a while; what the node has spent before that is its debt, which
+ * the allocator charges when it hears the node again. Not thread-safe; the caller locks.
  */
 #ifndef BRIARREEL_QUOTA_H
 #define BRIARREEL_QUOTA_H
@@ -72,6 +73,26 @@
 uint32_t br_quota_allocator_grant(struct br_quota_allocator *a, uint64_t account, double rate_per_s,
 				  double burst, uint32_t n_requested, uint64_t now_us);
 
+/**
+ * Tokens of an account that a process has spent of its equal part while the allocator may have granted
+ * them as well, counted since the process started.
+ */
+struct br_quota_debt {
+	uint32_t spent;
+	/** Those of them that an allocator is known to have charged. */
+	uint32_t charged;
+};
+
+/**
+ * Takes a process's debt off an account's tokens; what was charged before is not charged again, however
+ * often the same debt is told, nor is what a node's first request tells, since its part was reserved
+ * until then. Call after br_quota_allocator_heartbeat() for the request, with the same time. node is the hash that identifies the process; the limit is that of
+ * br_quota_allocator_grant(). Returns 0 or -ENOMEM, after which the debt is to be told again.
+ */
+int br_quota_allocator_charge(struct br_quota_allocator *a, uint64_t node, uint64_t account,
+			      double rate_per_s, double burst, const struct br_quota_debt *debt,
+			      uint64_t now_us);
+
 /** Limit of an account over all nodes. */
 struct br_quota_limit {
 	double rate_per_s, burst;
@@ -104,6 +125,18 @@
 uint32_t br_quota_client_tokens_to_request(struct br_quota_client *c, uint64_t account,
 					   uint64_t now_us);
 
+/** Returns the debt of an account, to be told with each request for its tokens. */
+struct br_quota_debt br_quota_client_debt(const struct br_quota_client *c, uint64_t account);
+
+/** Records that the allocator has charged the account's debt up to spent. */
+void br_quota_client_debt_charged(struct br_quota_client *c, uint64_t account, uint32_t spent);
+
+/**
+ * Finds an account whose debt has not been charged, beginning with the position *pos, which is 0 at
+ * first, and advances *pos behind it. Returns false if there are no more.
+ */
+bool br_quota_client_next_debt(const struct br_quota_client *c, size_t *pos, uint64_t *account);
+
 /** Records an answer of the allocator, with or without tokens: until then it granted the rates. */
 void br_quota_client_answered(struct br_quota_client *c, uint64_t now_us);
 
--- a/lib/quota.c
+++ b/lib/quota.c
@@ -10,16 +10,23 @@
 #define DEMAND_AVERAGE_US (1000.0 * BR_US_PER_MS)
 /* Number of different fractions of a token with which a node's equal part may begin. */
 #define FRACTIONS 1000
+/*
+ * Largest number of remembered debts. They are forgotten beyond it, after which a debt that is told
+ * once more, since the answer was lost, is charged twice.
+ */
+#define DEBTS_MAX 65536
 /* An account that was refused a token within this time is assumed to be over its rate still. */
 #define REFUSED_MEMORY_US (8 * BR_US_PER_S)
 
-/** Row of the allocator's accounts, of the allocator's nodes or of the client's accounts. */
+/** Row of the allocator's accounts, nodes or debts, or of the client's accounts. */
 struct row {
 	uint64_t key;
 	/** Allocator's accounts: tokens left. Client: tokens of the equal part. Nodes: unused. */
 	double tokens;
 	/** Accounts: time of the last refill of tokens. Nodes: time of the last request. */
 	uint64_t updated_us;
+	/** Nodes only: time of the first request. */
+	uint64_t first_us;
 	/** Client only: granted tokens that are left, and their expiry. */
 	uint32_t granted;
 	uint64_t expires_us;
@@ -31,6 +38,10 @@
 	uint64_t part_after_us;
 	/** Client only: this node may admit one request beyond its part. */
 	bool spare;
+	/** Client only. */
+	struct br_quota_debt debt;
+	/** Debts of a process at the allocator: the part that was charged. */
+	uint32_t charged;
 	/** Client only: when the allocator last granted nothing, or anything; 0 for never. */
 	uint64_t refused_us, granted_us;
 };
@@ -42,6 +53,8 @@
 
 struct br_quota_allocator {
 	struct table accounts, nodes;
+	/** By process and account; see charge_key(). */
+	struct table debts;
 	uint64_t started_us;
 	uint32_t n_nodes;
 	bool shared;
@@ -94,7 +107,8 @@
 		return NULL;
 	r = find_row(t, key);
 	if (!r->key) {
-		*r = (struct row){.key = key, .updated_us = now_us, .demand_us = now_us};
+		*r = (struct row){
+			.key = key, .updated_us = now_us, .first_us = now_us, .demand_us = now_us};
 		t->used++;
 	}
 	return r;
@@ -117,6 +131,7 @@
 		return;
 	free(a->accounts.rows);
 	free(a->nodes.rows);
+	free(a->debts.rows);
 	free(a);
 }
 
@@ -167,19 +182,72 @@
 		r->tokens = cap;
 }
 
-uint32_t br_quota_allocator_grant(struct br_quota_allocator *a, uint64_t account, double rate_per_s,
-				  double burst, uint32_t n_requested, uint64_t now_us)
+/* Refills an account's tokens at the rate that is left for the reachable nodes. */
+static void refill_account(const struct br_quota_allocator *a, struct row *r, double rate_per_s,
+			   double burst, uint64_t now_us)
 {
-	uint32_t n_unreachable = br_quota_allocator_unreachable(a, now_us), n;
+	uint32_t n_unreachable = br_quota_allocator_unreachable(a, now_us);
 	double rate_fraction = 1.0 - (double)n_unreachable / (double)a->n_nodes;
-	struct row *r = get_row(&a->accounts, account, a->started_us);
 
-	if (!r)
-		return 0;
 	/* Another allocator would have started empty, so that the burst of these nodes is unspent. */
 	if (a->shared)
 		burst *= rate_fraction;
 	refill(r, rate_per_s * rate_fraction, burst > 1 ? burst : 1, now_us);
+}
+
+/* Until a node's first request its part was reserved, so that nothing was granted of it. */
+static bool is_first_request(const struct br_quota_allocator *a, uint64_t node, uint64_t now_us)
+{
+	const struct row *r = a->nodes.cap ? find_row(&a->nodes, key_of(node)) : NULL;
+
+	return !r || !r->key || r->first_us == now_us;
+}
+
+static uint64_t charge_key(uint64_t node, uint64_t account)
+{
+	uint64_t pair[2] = {node, account};
+
+	return br_hash64(pair, sizeof(pair), 0);
+}
+
+int br_quota_allocator_charge(struct br_quota_allocator *a, uint64_t node, uint64_t account,
+			      double rate_per_s, double burst, const struct br_quota_debt *debt,
+			      uint64_t now_us)
+{
+	struct row *r, *known;
+
+	if (debt->spent == debt->charged)
+		return 0;
+	if (a->debts.used >= DEBTS_MAX) {
+		free(a->debts.rows);
+		a->debts = (struct table){0};
+	}
+	r = get_row(&a->accounts, account, a->started_us);
+	known = get_row(&a->debts, charge_key(node, account), now_us);
+	if (!r || !known)
+		return -ENOMEM;
+	if (is_first_request(a, node, now_us))
+		known->charged = debt->spent;
+	/* The process knows of charges by an earlier allocator, this one of answers that were lost. */
+	if ((int32_t)(known->charged - debt->charged) < 0)
+		known->charged = debt->charged;
+	refill_account(a, r, rate_per_s, burst, now_us);
+	if ((int32_t)(debt->spent - known->charged) > 0) {
+		r->tokens -= debt->spent - known->charged;
+		known->charged = debt->spent;
+	}
+	return 0;
+}
+
+uint32_t br_quota_allocator_grant(struct br_quota_allocator *a, uint64_t account, double rate_per_s,
+				  double burst, uint32_t n_requested, uint64_t now_us)
+{
+	struct row *r = get_row(&a->accounts, account, a->started_us);
+	uint32_t n;
+
+	if (!r)
+		return 0;
+	refill_account(a, r, rate_per_s, burst, now_us);
 	n = r->tokens < 0 ? 0 : (uint32_t)r->tokens;
 	if (n > n_requested)
 		n = n_requested;
@@ -326,14 +394,50 @@
 	refill_part(r, rate_per_s / n_nodes, burst / rate_per_s, now_us);
 	if (r->tokens >= 1) {
 		r->tokens -= 1;
-		return true;
-	}
-	if (!r->spare)
+	} else if (r->spare) {
+		r->spare = false;
+	} else {
 		return false;
-	r->spare = false;
+	}
+	/* Later the allocator reserves the part. */
+	if (c->answered_us && now_us - c->answered_us < BR_QUOTA_NODE_TIMEOUT_US)
+		r->debt.spent++;
 	return true;
 }
 
+static const struct row *find_account(const struct br_quota_client *c, uint64_t account)
+{
+	return c->accounts.cap ? find_row(&c->accounts, key_of(account)) : NULL;
+}
+
+struct br_quota_debt br_quota_client_debt(const struct br_quota_client *c, uint64_t account)
+{
+	const struct row *r = find_account(c, account);
+
+	return r ? r->debt : (struct br_quota_debt){0};
+}
+
+void br_quota_client_debt_charged(struct br_quota_client *c, uint64_t account, uint32_t spent)
+{
+	struct row *r = (struct row *)find_account(c, account);
+
+	if (r && r->key && (int32_t)(spent - r->debt.charged) > 0)
+		r->debt.charged = spent;
+}
+
+bool br_quota_client_next_debt(const struct br_quota_client *c, size_t *pos, uint64_t *account)
+{
+	while (*pos < c->accounts.cap) {
+		const struct row *r = &c->accounts.rows[(*pos)++];
+
+		if (!r->key || r->debt.spent == r->debt.charged)
+			continue;
+		*account = r->key;
+		return true;
+	}
+	return false;
+}
+
 void br_quota_client_answered(struct br_quota_client *c, uint64_t now_us)
 {
 	c->answered_us = now_us;
--- a/mesh/keeper_message.h
+++ b/mesh/keeper_message.h
@@ -5,6 +5,8 @@
 #ifndef MESH_KEEPER_MESSAGE_H
 #define MESH_KEEPER_MESSAGE_H
 
+#include "briarreel/quota.h"
+
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -28,6 +30,8 @@
 	/** Hash of the account's name. */
 	uint64_t account_hash;
 	uint32_t tokens;
+	/** The sender's debt; the grant repeats it if the keeper has charged it. */
+	struct br_quota_debt debt;
 };
 
 struct keeper_message {
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -119,6 +119,28 @@
 	w->done(w, granted);
 }
 
+/* Rate and burst by which the keeper grants an account's tokens. */
+static struct br_quota_limit keeper_limit(const struct quota *q, const struct mesh_account *a,
+					  uint64_t now_us)
+{
+	const struct mesh_settings *set = q->board->settings;
+	/* What is tolerated beyond the rate is left to overlaps with another keeper. */
+	double excess_factor =
+		is_keeper(q, now_us) ? 1 + set->quota_overage_ratio * EXCESS_GRANTED_PART : 1;
+
+	return (struct br_quota_limit){
+		.rate_per_s = a->rate_per_s * excess_factor,
+		.burst = a->burst * excess_factor + set->quota_slack * EXCESS_GRANTED_PART,
+	};
+}
+
+/* Prepares the keeper's allocator for a call. */
+static void update_allocator(struct quota *q, uint64_t now_us)
+{
+	br_quota_allocator_set_exclusive(q->allocator, is_keeper(q, now_us));
+	br_quota_allocator_set_nodes(q->allocator, n_nodes(q));
+}
+
 /*
  * Grants up to want tokens of an account; called only if this node is the keeper. It goes on
  * without a lease, since its share is limited to the parts of the nodes that ask it: whoever is
@@ -126,19 +148,31 @@
  */
 static uint32_t keeper_grant(struct quota *q, uint64_t hash, uint32_t want, uint64_t now_us)
 {
-	const struct mesh_settings *set = q->board->settings;
 	const struct mesh_account *a = find_account(q, hash);
-	bool exclusive = is_keeper(q, now_us);
-	/* What is tolerated beyond the rate is left to overlaps with another keeper. */
-	double excess_factor = exclusive ? 1 + set->quota_overage_ratio * EXCESS_GRANTED_PART : 1;
+	struct br_quota_limit limit;
 
 	if (!a || !members_known(q))
 		return 0;
-	br_quota_allocator_set_exclusive(q->allocator, exclusive);
-	br_quota_allocator_set_nodes(q->allocator, n_nodes(q));
-	return br_quota_allocator_grant(
-		q->allocator, hash, a->rate_per_s * excess_factor,
-		a->burst * excess_factor + set->quota_slack * EXCESS_GRANTED_PART, want, now_us);
+	limit = keeper_limit(q, a, now_us);
+	update_allocator(q, now_us);
+	return br_quota_allocator_grant(q->allocator, hash, limit.rate_per_s, limit.burst, want,
+					now_us);
+}
+
+/* Charges the debt of a node's request, and marks in the row what it was charged up to. */
+static void keeper_charge(struct quota *q, uint64_t node, struct keeper_row *row, uint64_t now_us)
+{
+	const struct mesh_account *a = find_account(q, row->account_hash);
+	struct br_quota_limit limit;
+
+	if (!a)
+		return;
+	limit = keeper_limit(q, a, now_us);
+	update_allocator(q, now_us);
+	if (br_quota_allocator_charge(q->allocator, node, row->account_hash, limit.rate_per_s,
+				      limit.burst, &row->debt, now_us))
+		return;
+	row->debt.charged = row->debt.spent;
 }
 
 static void send_message(struct quota *q, const struct sockaddr *to, const struct keeper_message *m)
@@ -153,7 +187,8 @@
 }
 
 /* Adds tokens to an account's row, or adds a row. Returns false if the message is full. */
-static bool add_row(struct keeper_message *m, uint64_t account, uint32_t tokens)
+static bool add_row(const struct quota *q, struct keeper_message *m, uint64_t account,
+		    uint32_t tokens)
 {
 	for (uint32_t i = 0; i < m->n_rows; i++) {
 		if (m->rows[i].account_hash != account)
@@ -163,7 +198,10 @@
 	}
 	if (m->n_rows == KEEPER_ROWS_MAX)
 		return false;
-	m->rows[m->n_rows++] = (struct keeper_row){.account_hash = account, .tokens = tokens};
+	m->rows[m->n_rows++] =
+		(struct keeper_row){.account_hash = account,
+				    .tokens = tokens,
+				    .debt = br_quota_client_debt(q->client, account)};
 	return true;
 }
 
@@ -185,13 +223,23 @@
 	{
 		if (w->requested_us && now_us - w->requested_us < ANSWER_WAIT_US)
 			continue;
-		if (!add_row(m, w->account_hash, 1))
+		if (!add_row(q, m, w->account_hash, 1))
 			return false;
 		w->requested_us = m->requested_us;
 	}
 	return true;
 }
 
+/* Adds the debts that were not charged. Those that don't fit are told with a later request. */
+static void add_debts(const struct quota *q, struct keeper_message *m)
+{
+	uint64_t account;
+	size_t pos = 0;
+
+	while (br_quota_client_next_debt(q->client, &pos, &account) && add_row(q, m, account, 0))
+		;
+}
+
 /*
  * Sends the keeper a request for the tokens of waiting requests, and for prefetch_tokens more of
  * one account. Also sent without any tokens, since it shows the keeper that this node is alive.
@@ -210,8 +258,9 @@
 			.type = KEEPER_REQUEST, .node_hash = q->node_hash, .requested_us = at_us};
 
 		if (at_us == now_us && prefetch_tokens)
-			(void)add_row(&m, prefetch_account, prefetch_tokens);
+			(void)add_row(q, &m, prefetch_account, prefetch_tokens);
 		complete = add_waits(q, &m, now_us);
+		add_debts(q, &m);
 		fill_sender_state(q, &m);
 		send_message(q, (const struct sockaddr *)&q->keeper_addr, &m);
 	}
@@ -236,9 +285,11 @@
 	board_report_version(q->board, in->version);
 	out.type = KEEPER_GRANT;
 	fill_sender_state(q, &out);
-	for (uint32_t i = 0; i < out.n_rows; i++)
+	for (uint32_t i = 0; i < out.n_rows; i++) {
+		keeper_charge(q, in->node_hash, &out.rows[i], now_us);
 		out.rows[i].tokens =
 			keeper_grant(q, in->rows[i].account_hash, in->rows[i].tokens, now_us);
+	}
 	send_message(q, from, &out);
 }
 
@@ -258,6 +309,16 @@
 	config_confirm_from_peer(q->board, in->version, in->confirmation_age_ms, in->requested_us);
 }
 
+static bool has_wait(const struct quota *q, uint64_t account, uint64_t requested_us)
+{
+	const struct quota_wait *w;
+
+	TAILQ_FOREACH(w, &q->waits, link)
+	if (w->account_hash == account && w->requested_us == requested_us)
+		return true;
+	return false;
+}
+
 static void on_grant(struct quota *q, const struct keeper_message *in)
 {
 	uint64_t now_us = clock_now_us();
@@ -269,9 +330,15 @@
 	q->unanswered_since_us = 0;
 	br_quota_client_answered(q->client, now_us);
 	update_keeper_state(q, in);
-	for (uint32_t i = 0; i < in->n_rows; i++)
-		br_quota_client_add_grant(q->client, in->rows[i].account_hash, in->rows[i].tokens,
-					  in->requested_us);
+	for (uint32_t i = 0; i < in->n_rows; i++) {
+		const struct keeper_row *row = &in->rows[i];
+
+		/* A row without tokens may only have told a debt. */
+		if (row->tokens || has_wait(q, row->account_hash, in->requested_us))
+			br_quota_client_add_grant(q->client, row->account_hash, row->tokens,
+						  in->requested_us);
+		br_quota_client_debt_charged(q->client, row->account_hash, row->debt.charged);
+	}
 	for (struct quota_wait *w = TAILQ_FIRST(&q->waits); w; w = next) {
 		next = TAILQ_NEXT(w, link);
 		if (w->requested_us == in->requested_us)
--- a/tests/random/quota_nodes.c
+++ b/tests/random/quota_nodes.c
@@ -1,8 +1,9 @@
 /*
- * Rates of accounts shared by 100 and 300 nodes through a keeper, with passed-in time: calm accounts
- * within their rates, hot ones far beyond, bursts, lost datagrams, keepers that die and keepers that
- * go on without a lease while others already ask their successor. Checks that no account gets more
- * than its rate allows in any window, and that calm ones are hardly refused while a keeper answers.
+ * Rates of accounts shared by many nodes through a keeper, with passed-in time: calm accounts within
+ * their rates, hot ones far beyond, bursts, lost datagrams, keepers that die, keepers that go on
+ * without a lease while others already ask their successor, zones that are cut off and keepers that
+ * freeze for parts of a second again and again. Checks that no account gets more than its rate
+ * allows in any window, and that calm ones are hardly refused while a keeper answers.
  * BR_SEED runs one seed.
  */
 #include "briarreel/quota.h"
@@ -30,6 +31,14 @@
 #define OVERAGE 1.1
 #define SLACK 20.0
 #define SEEDS 4
+#define ZONES 4
+/* A zone that flaps is cut off for the first part of each period, a keeper that flaps is frozen. */
+#define CUT_PERIOD_US (1050 * BR_US_PER_MS)
+#define CUT_US (900 * BR_US_PER_MS)
+#define FREEZE_PERIOD_US (500 * BR_US_PER_MS)
+#define FREEZE_US (300 * BR_US_PER_MS)
+/* Time after the end of a cut or freeze from which refusals of calm accounts count. */
+#define SETTLE_US (2 * BR_US_PER_S)
 
 struct keeper {
 	struct br_quota_allocator *allocator;
@@ -45,10 +54,19 @@
 	uint64_t switch_us, heartbeat_us;
 };
 
+/** A series of short cuts of a zone, or of freezes of the keeper's process. */
+struct series {
+	uint64_t from_us, until_us;
+	uint32_t zone;
+	bool freeze;
+};
+
 struct wait {
 	uint32_t node, account;
 	uint64_t started_us, asked_us, answer_us;
 	uint32_t granted;
+	/** Debt that the request has told the keeper. */
+	uint32_t spent;
 	bool used;
 };
 
@@ -63,6 +81,8 @@
 	uint64_t seed, now_us, calm_from_us;
 	uint32_t n_nodes, n_keepers, loss_percent;
 	struct keeper keepers[16];
+	struct series series[8];
+	uint32_t n_series;
 	struct node nodes[NODES_MAX];
 	struct account accounts[ACCOUNTS];
 	struct wait waits[WAITS_MAX];
@@ -75,6 +95,35 @@
 	return br_rng_below(&w.rng, n);
 }
 
+/* Tests whether datagrams between a node and the keeper, which is in zone 0, are lost now. */
+static bool is_cut(uint32_t node)
+{
+	for (uint32_t i = 0; i < w.n_series; i++) {
+		const struct series *s = &w.series[i];
+		uint64_t since_us = w.now_us - s->from_us;
+
+		if (w.now_us < s->from_us || w.now_us >= s->until_us)
+			continue;
+		if (s->freeze ? since_us % FREEZE_PERIOD_US < FREEZE_US
+			      : since_us % CUT_PERIOD_US < CUT_US && node % ZONES == s->zone)
+			return true;
+	}
+	return false;
+}
+
+static bool is_lost(uint32_t node)
+{
+	return is_cut(node) || below(100) < w.loss_percent;
+}
+
+static bool is_calm(void)
+{
+	for (uint32_t i = 0; i < w.n_series; i++)
+		if (w.now_us >= w.series[i].from_us && w.now_us < w.series[i].until_us + SETTLE_US)
+			return false;
+	return w.now_us >= w.calm_from_us;
+}
+
 static struct account *account_of(const struct wait *wait)
 {
 	return &w.accounts[wait->account];
@@ -92,7 +141,7 @@
 
 	if (admitted)
 		admit(account);
-	if (account < HOT_ACCOUNTS || w.now_us < w.calm_from_us)
+	if (account < HOT_ACCOUNTS || !is_calm())
 		return;
 	a->n_calm++;
 	a->n_calm_refused += !admitted;
@@ -122,6 +171,16 @@
 	*elect_us = w.now_us + below((below(4) ? 3 : 9) * BR_US_PER_S);
 }
 
+/* Tells the keeper what the node has spent of its part, as each request does. */
+static void charge(struct keeper *k, uint32_t node, uint32_t account)
+{
+	struct br_quota_debt debt = br_quota_client_debt(w.nodes[node].client, account + 1);
+	double rate_per_s = w.accounts[account].rate_per_s * (k->shared ? 1 : 1.05);
+
+	br_quota_allocator_charge(k->allocator, node + 1, account + 1, rate_per_s,
+				  rate_per_s + SLACK / 2, &debt, w.now_us);
+}
+
 static void ask(struct wait *wait)
 {
 	struct node *n = &w.nodes[wait->node];
@@ -131,15 +190,17 @@
 	uint32_t tokens = 1;
 
 	wait->asked_us = w.now_us;
-	if (!k->answers || below(100) < w.loss_percent)
+	if (!k->answers || is_lost(wait->node))
 		return;
 	cr_assert_eq(br_quota_allocator_heartbeat(k->allocator, wait->node + 1, w.now_us), 0);
+	charge(k, wait->node, wait->account);
 	if (wait->started_us == w.now_us)
 		tokens += br_quota_client_tokens_to_request(n->client, wait->account + 1, w.now_us);
 	wait->granted = br_quota_allocator_grant(
 		k->allocator, wait->account + 1, a->rate_per_s * excess_factor,
 		a->rate_per_s * excess_factor + SLACK / 2, tokens, w.now_us);
-	if (below(100) >= w.loss_percent)
+	wait->spent = br_quota_client_debt(n->client, wait->account + 1).spent;
+	if (!is_lost(wait->node))
 		wait->answer_us = w.now_us + ROUND_TRIP_US;
 }
 
@@ -175,6 +236,7 @@
 		br_quota_client_answered(n->client, w.now_us);
 		br_quota_client_add_grant(n->client, wait->account + 1, wait->granted,
 					  wait->asked_us);
+		br_quota_client_debt_charged(n->client, wait->account + 1, wait->spent);
 		wait->used = false;
 		count_end(wait->account,
 			  br_quota_client_take(n->client, wait->account + 1, w.now_us));
@@ -191,6 +253,21 @@
 	}
 }
 
+/* A message without requests for tokens, and its answer. */
+static void send_heartbeat(uint32_t node)
+{
+	struct node *n = &w.nodes[node];
+	struct keeper *k = &w.keepers[n->keeper];
+
+	cr_assert_eq(br_quota_allocator_heartbeat(k->allocator, node + 1, w.now_us), 0);
+	br_quota_client_answered(n->client, w.now_us);
+	for (uint32_t account = 0; account < ACCOUNTS; account++) {
+		charge(k, node, account);
+		br_quota_client_debt_charged(n->client, account + 1,
+					     br_quota_client_debt(n->client, account + 1).spent);
+	}
+}
+
 static void step_nodes(void)
 {
 	for (uint32_t i = 0; i < w.n_nodes; i++) {
@@ -201,12 +278,8 @@
 		if (w.now_us < n->heartbeat_us)
 			continue;
 		n->heartbeat_us = w.now_us + BR_QUOTA_REQUEST_INTERVAL_US;
-		if (w.keepers[n->keeper].answers && below(100) >= w.loss_percent) {
-			cr_assert_eq(br_quota_allocator_heartbeat(w.keepers[n->keeper].allocator,
-								  i + 1, w.now_us),
-				     0);
-			br_quota_client_answered(n->client, w.now_us);
-		}
+		if (w.keepers[n->keeper].answers && !is_lost(i))
+			send_heartbeat(i);
 	}
 }
 
@@ -280,21 +353,26 @@
 		      (unsigned long long)a->n_calm_refused, (unsigned long long)a->n_calm);
 }
 
-static void run_seed(uint64_t seed, uint32_t n_nodes)
+static void disturb_and_elect(uint64_t *disturb_us, uint64_t *elect_us)
+{
+	if (w.now_us >= *disturb_us) {
+		*disturb_us = w.now_us + 10 * BR_US_PER_S;
+		disturb_keeper(elect_us);
+	}
+	if (w.now_us >= *elect_us) {
+		*elect_us = UINT64_MAX;
+		start_keeper();
+	}
+}
+
+static void run_world(bool keepers_change)
 {
-	uint64_t elect_us = UINT64_MAX, disturb_us;
+	uint64_t elect_us = UINT64_MAX, disturb_us = UINT64_MAX;
 
-	create_world(seed, n_nodes);
-	disturb_us = 8 * BR_US_PER_S + below(4 * BR_US_PER_S);
+	if (keepers_change)
+		disturb_us = 8 * BR_US_PER_S + below(4 * BR_US_PER_S);
 	for (; w.now_us < RUN_US; w.now_us += STEP_US) {
-		if (w.now_us >= disturb_us) {
-			disturb_us = w.now_us + 10 * BR_US_PER_S;
-			disturb_keeper(&elect_us);
-		}
-		if (w.now_us >= elect_us) {
-			elect_us = UINT64_MAX;
-			start_keeper();
-		}
+		disturb_and_elect(&disturb_us, &elect_us);
 		step_nodes();
 		for (uint32_t i = 0; i < WAITS_MAX; i++)
 			if (w.waits[i].used)
@@ -306,13 +384,53 @@
 	destroy_world();
 }
 
-Test(quota_nodes, hundreds_of_nodes_share_rates)
+static void add_series(void)
+{
+	uint64_t from_us = (4 + below(20)) * BR_US_PER_S;
+
+	w.series[w.n_series++] = (struct series){
+		.from_us = from_us,
+		.until_us = from_us + (1 + below(6)) * BR_US_PER_S,
+		.zone = 1 + (uint32_t)below(ZONES - 1),
+		.freeze = below(3) == 0,
+	};
+}
+
+static uint64_t first_seed(uint64_t *n)
 {
 	const char *single_seed = getenv("BR_SEED");
-	uint64_t first = single_seed ? strtoull(single_seed, NULL, 10) : 1;
 
-	for (uint64_t seed = first; seed < first + (single_seed ? 1 : SEEDS); seed++) {
-		run_seed(seed, 100);
-		run_seed(seed, 300);
+	*n = single_seed ? 1 : SEEDS;
+	return single_seed ? strtoull(single_seed, NULL, 10) : 1;
+}
+
+Test(quota_nodes, hundreds_of_nodes_share_rates)
+{
+	uint64_t n, first = first_seed(&n);
+
+	for (uint64_t seed = first; seed < first + n; seed++) {
+		create_world(seed, 100);
+		run_world(true);
+		create_world(seed, 300);
+		run_world(true);
+	}
+}
+
+/*
+ * Guards against a part of a rate that the keeper and the nodes that it cannot reach both spend, again
+ * with each short cut of a link and each short freeze of the keeper.
+ */
+Test(quota_nodes, a_rate_holds_while_links_flap)
+{
+	static const uint32_t sizes[] = {16, 95, 300};
+	uint64_t n, first = first_seed(&n);
+
+	for (uint64_t seed = first; seed < first + n; seed++) {
+		for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+			create_world(seed, sizes[i]);
+			for (uint32_t k = 0; k < 4; k++)
+				add_series();
+			run_world(seed % 2 == 0);
+		}
 	}
 }
--- a/tests/unit/mesh_model.c
+++ b/tests/unit/mesh_model.c
@@ -230,7 +230,9 @@
 	size_t len;
 
 	for (uint32_t i = 0; i < m.n_rows; i++)
-		m.rows[i] = (struct keeper_row){.account_hash = UINT64_MAX - i, .tokens = i};
+		m.rows[i] = (struct keeper_row){.account_hash = UINT64_MAX - i,
+						.tokens = i,
+						.debt = {.spent = UINT32_MAX - i, .charged = i}};
 	len = keeper_message_write(&m, bytes, KEEPER_MESSAGE_BYTES);
 	cr_assert_gt(len, 0);
 	cr_assert_eq(keeper_message_read(bytes, len, &decoded), 0);
@@ -240,6 +242,8 @@
 	cr_assert_eq(decoded.n_rows, m.n_rows);
 	cr_assert_eq(decoded.rows[7].account_hash, UINT64_MAX - 7);
 	cr_assert_eq(decoded.rows[7].tokens, 7);
+	cr_assert_eq(decoded.rows[7].debt.spent, UINT32_MAX - 7);
+	cr_assert_eq(decoded.rows[7].debt.charged, 7);
 	for (size_t truncated_len = 0; truncated_len < len; truncated_len++)
 		cr_assert_lt(keeper_message_read(bytes, truncated_len, &decoded), 0);
 	bytes[len] = 0;
--- a/tests/unit/quota.c
+++ b/tests/unit/quota.c
@@ -195,3 +195,69 @@
 	cr_assert_eq(over, 0);
 	cr_assert_eq(unknown, 0);
 }
+
+/* Guards against a part that is spent twice, and against a debt that is charged twice. */
+Test(quota, debt_is_charged_once)
+{
+	struct br_quota_allocator *a = br_quota_allocator_create(SECOND);
+	struct br_quota_debt debt = {.spent = 3};
+
+	br_quota_allocator_set_nodes(a, 1);
+	for (uint64_t node = 5; node <= 6; node++) {
+		cr_assert_eq(br_quota_allocator_heartbeat(a, node, 2 * SECOND), 0);
+		cr_assert_eq(br_quota_allocator_heartbeat(a, node, 11 * SECOND), 0);
+	}
+	cr_assert_eq(br_quota_allocator_charge(a, 5, 7, 1, 10, &debt, 11 * SECOND), 0);
+	/* The answer was lost, and the node tells its debt again. */
+	cr_assert_eq(br_quota_allocator_charge(a, 5, 7, 1, 10, &debt, 11 * SECOND), 0);
+	debt.spent = 5;
+	cr_assert_eq(br_quota_allocator_charge(a, 5, 7, 1, 10, &debt, 11 * SECOND), 0);
+	/* A debt of another process of which an earlier allocator has charged all but one token. */
+	cr_assert_eq(br_quota_allocator_heartbeat(a, 6, 3 * SECOND), 0);
+	cr_assert_eq(br_quota_allocator_charge(a, 6, 7, 1, 10,
+					       &(struct br_quota_debt){.spent = 40, .charged = 39},
+					       11 * SECOND),
+		     0);
+	cr_assert_eq(br_quota_allocator_grant(a, 7, 1, 10, 100, 11 * SECOND), 10 - 5 - 1);
+	br_quota_allocator_destroy(a);
+}
+
+/* Guards against a debt for a part that was reserved until the node's first request. */
+Test(quota, debt_of_a_first_request_is_not_charged)
+{
+	struct br_quota_allocator *a = br_quota_allocator_create(SECOND);
+	const struct br_quota_debt debt = {.spent = 9};
+
+	br_quota_allocator_set_nodes(a, 1);
+	cr_assert_eq(br_quota_allocator_heartbeat(a, 5, 11 * SECOND), 0);
+	cr_assert_eq(br_quota_allocator_charge(a, 5, 7, 1, 10, &debt, 11 * SECOND), 0);
+	cr_assert_eq(br_quota_allocator_charge(a, 5, 7, 1, 10, &debt, 12 * SECOND), 0);
+	cr_assert_eq(br_quota_allocator_grant(a, 7, 1, 10, 100, 12 * SECOND), 10);
+	br_quota_allocator_destroy(a);
+}
+
+/* Guards against a debt for what the allocator has reserved since it lost the node. */
+Test(quota, only_the_beginning_of_a_cut_is_a_debt)
+{
+	static const struct br_quota_limit limit = {.rate_per_s = 10, .burst = 100};
+	struct br_quota_client *c = br_quota_client_create(1);
+	uint64_t account = 0;
+	size_t pos = 0;
+	uint32_t taken = 0;
+
+	cr_assert_not(br_quota_client_next_debt(c, &pos, &account));
+	br_quota_client_answered(c, 10 * SECOND);
+	while (br_quota_client_take_fallback(c, 7, &limit, 1, 10 * SECOND + SECOND / 2))
+		taken++;
+	cr_assert_geq(taken, 5);
+	cr_assert_eq(br_quota_client_debt(c, 7).spent, taken);
+	cr_assert(br_quota_client_take_fallback(c, 7, &limit, 1, 13 * SECOND));
+	cr_assert_eq(br_quota_client_debt(c, 7).spent, taken);
+	pos = 0;
+	cr_assert(br_quota_client_next_debt(c, &pos, &account));
+	cr_assert_eq(account, 7);
+	br_quota_client_debt_charged(c, 7, taken);
+	pos = 0;
+	cr_assert_not(br_quota_client_next_debt(c, &pos, &account));
+	br_quota_client_destroy(c);
+}
