Soak: targets that leave around a restart, and refusals written again

Two faults that the soak did not have: a target announces that it leaves, its node is killed and started again, and a report from before arrives late; a target refuses without an id and writes that once more where the next answer is due. They are drawn from a generator of their own, so that known seeds keep their other faults.

Also wraps two comments of quota.h.

--- a/include/briarreel/quota.h
+++ b/include/briarreel/quota.h
@@ -74,8 +74,8 @@
 				  double burst, uint32_t n_requested, uint64_t now_us);
 
 /**
- * Tokens of an account that a process has spent of its equal part while the allocator may have granted
- * them as well, counted since the process started.
+ * Tokens of an account that a process has spent of its equal part while the allocator may have
+ * granted them as well, counted since the process started.
  */
 struct br_quota_debt {
 	uint32_t spent;
@@ -84,9 +84,10 @@
 };
 
 /**
- * Takes a process's debt off an account's tokens; what was charged before is not charged again, however
- * often the same debt is told, nor is what a node's first request tells, since its part was reserved
- * until then. Call after br_quota_allocator_heartbeat() for the request, with the same time. node is the hash that identifies the process; the limit is that of
+ * Takes a process's debt off an account's tokens. What was charged before is not charged again,
+ * however often the same debt is told, nor is what a node's first request tells, since its part was
+ * reserved until then. Call it after br_quota_allocator_heartbeat() for the request, with the same
+ * time. node is the hash that identifies the process; the limit is that of
  * br_quota_allocator_grant(). Returns 0 or -ENOMEM, after which the debt is to be told again.
  */
 int br_quota_allocator_charge(struct br_quota_allocator *a, uint64_t node, uint64_t account,
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -25,6 +25,8 @@
 	FAULT_REPLACE,
 	FAULT_KEY,
 	FAULT_ROUTE,
+	/** A target leaves around its node's restart. */
+	FAULT_LEAVE,
 	FAULT_KINDS,
 };
 
@@ -51,10 +53,23 @@
 						    "target",
 						    "replace",
 						    "key",
-						    "route"};
+						    "route",
+						    "leave"};
 #define RELAY_DELAY 4
 #define RELAY_BLACKHOLE 5
 #define RELAY_VARIANTS 6
+/* Mean time between faults that seeds did not have from the start. */
+#define LATER_FAULT_GAP_MS 5000
+
+static bool disturbs_process(const struct fault *f)
+{
+	return (f->kind >= FAULT_KILL && f->kind <= FAULT_HUP) || f->kind == FAULT_LEAVE;
+}
+
+static bool disturbs_target(const struct fault *f)
+{
+	return f->kind == FAULT_TARGET || f->kind == FAULT_REPLACE || f->kind == FAULT_LEAVE;
+}
 
 /*
  * True if two faults cannot be active together: two outages of the store, or two faults of the same
@@ -63,10 +78,8 @@
 static bool conflicts(const struct fault *a, const struct fault *b)
 {
 	bool store_a = a->kind <= FAULT_STORE_SILENT, store_b = b->kind <= FAULT_STORE_SILENT;
-	bool process_a = a->kind >= FAULT_KILL && a->kind <= FAULT_HUP;
-	bool process_b = b->kind >= FAULT_KILL && b->kind <= FAULT_HUP;
-	bool target_a = a->kind == FAULT_TARGET || a->kind == FAULT_REPLACE;
-	bool target_b = b->kind == FAULT_TARGET || b->kind == FAULT_REPLACE;
+	bool process_a = disturbs_process(a), process_b = disturbs_process(b);
+	bool target_a = disturbs_target(a), target_b = disturbs_target(b);
 
 	if (store_a && store_b)
 		return true;
@@ -84,6 +97,8 @@
 		process_stop_node(f->node);
 		sleep_us(FAULT_MIN_US);
 		process_start_node(f->node);
+	} else if (f->kind == FAULT_LEAVE) {
+		target_leave_around_restart(f->node);
 	} else {
 		target_replace(f->node, f->variant % 2);
 	}
@@ -137,14 +152,14 @@
 		break;
 	case FAULT_STOP:
 	case FAULT_REPLACE:
+	case FAULT_LEAVE:
 		start_thread(f);
 		break;
 	case FAULT_HUP:
 		process_signal_node(f->node, SIGHUP);
 		break;
 	case FAULT_TARGET:
-		target_set_fault(f->node,
-				 (enum target_fault)(1 + f->variant % (TARGET_FAULTS - 1)));
+		target_set_fault(f->node, (enum target_fault)(1 + f->variant));
 		break;
 	case FAULT_KEY:
 		config_flip_key();
@@ -196,7 +211,7 @@
 
 static struct fault pick_fault(struct br_rng *rng)
 {
-	static const uint32_t weights[FAULT_KINDS] = {2, 2, 1, 8, 2, 2, 2, 1, 4, 3, 2, 2};
+	static const uint32_t weights[FAULT_KINDS] = {2, 2, 1, 8, 2, 2, 2, 1, 4, 3, 2, 2, 0};
 	struct fault f = {0};
 	uint32_t sum = 0, at;
 
@@ -212,6 +227,21 @@
 	return f;
 }
 
+/* Draws from a generator of its own, so that the seeds that failed once keep their other faults. */
+static struct fault pick_later_fault(struct br_rng *rng)
+{
+	struct fault f = {.node = random_below(rng, soak.n_nodes)};
+
+	if (random_below(rng, 2)) {
+		f.kind = FAULT_LEAVE;
+	} else {
+		f.kind = FAULT_TARGET;
+		f.variant = TARGET_REFUSES_AGAIN - 1;
+	}
+	f.until_us = FAULT_MIN_US + random_below(rng, (uint32_t)(FAULT_MAX_US - FAULT_MIN_US));
+	return f;
+}
+
 static bool can_start(const struct fault *f, struct fault *const *active)
 {
 	for (int i = 0; i < ACTIVE_MAX; i++)
@@ -260,23 +290,33 @@
 	}
 }
 
+/* Starts the fault that a generator picks if its time has come and nothing conflicts with it. */
+static void start_due(struct fault (*pick)(struct br_rng *), struct br_rng *rng, uint64_t *next_us,
+		      uint32_t gap_max_ms, struct fault **active, uint64_t start_us)
+{
+	struct fault f;
+
+	if (now_us() < *next_us)
+		return;
+	f = pick(rng);
+	*next_us = now_us() + random_below(rng, gap_max_ms) * BR_US_PER_MS;
+	if (can_start(&f, active))
+		start_fault(&f, active, start_us);
+}
+
 void fault_run(uint64_t for_us)
 {
 	struct fault *active[ACTIVE_MAX] = {0};
-	uint64_t start_us = now_us(), next_us = start_us;
+	uint64_t start_us = now_us(), next_us = start_us, next_later_us = start_us;
 	bool pending = true;
-	struct br_rng rng;
+	struct br_rng rng, later_rng;
 
 	br_rng_seed(&rng, soak.seed);
+	br_rng_seed(&later_rng, ~soak.seed);
 	while (now_us() < start_us + for_us) {
-		struct fault f = {0};
-
-		if (now_us() >= next_us) {
-			f = pick_fault(&rng);
-			next_us = now_us() + random_below(&rng, FAULT_GAP_MAX_MS) * BR_US_PER_MS;
-			if (can_start(&f, active))
-				start_fault(&f, active, start_us);
-		}
+		start_due(pick_fault, &rng, &next_us, FAULT_GAP_MAX_MS, active, start_us);
+		start_due(pick_later_fault, &later_rng, &next_later_us, 2 * LATER_FAULT_GAP_MS,
+			  active, start_us);
 		end_faults(active, false);
 		process_check();
 		sleep_us(CHECK_INTERVAL_US);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -201,6 +201,8 @@
 	TARGET_ANSWERS_TWICE,
 	/** Closes the connection after half of the body. */
 	TARGET_TRUNCATES,
+	/** Sheds without the request's id, and writes that again before the next answer. */
+	TARGET_REFUSES_AGAIN,
 	TARGET_FAULTS,
 };
 
@@ -211,6 +213,11 @@
  * planned.
  */
 void target_replace(uint32_t node, bool planned);
+/**
+ * A target leaves without draining first, its node is killed and started again, and a report that the
+ * target sent before arrives late. Later the target ends and starts as a new incarnation.
+ */
+void target_leave_around_restart(uint32_t node);
 const char *target_service(uint32_t node);
 
 /* caller.c: callers, which send requests and check the answers. */
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -2,6 +2,7 @@
 #include "tests/soak/soak.h"
 
 #include <arpa/inet.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,10 +20,20 @@
 /* Time between the stop of a target and the start of its next incarnation. */
 #define RESTART_DELAY_US (500 * BR_US_PER_MS)
 #define BODY_BYTES 2048
+/* Of a target that leaves around its node's restart, from the acknowledgement of its leaving. */
+#define KILL_DELAY_US (200 * BR_US_PER_MS)
+#define NODE_RESTART_DELAY_US (300 * BR_US_PER_MS)
+#define LATE_REPORT_DELAY_US (1000 * BR_US_PER_MS)
+#define END_DELAY_US (6000 * BR_US_PER_MS)
+#define REFUSAL_FIELDS "X-Not-Executed: 1\r\n"
+/* Pause between the copy of a refusal and the answer that is due. */
+#define COPY_LEAD_US BR_US_PER_MS
 
 enum target_state {
 	STATE_READY,
 	STATE_DRAINING,
+	/** It has announced that it leaves, serves on and sends no more reports. */
+	STATE_LEFT,
 	STATE_STOPPED
 };
 
@@ -116,6 +127,8 @@
 	struct target *t = &targets[node];
 	char id[ID_BYTES] = "", expected[64] = "", account[64] = "", service[64] = "", text[32];
 	char own_id[64], seal[96], fields[160], body[BODY_BYTES];
+	/* A thread serves one connection: its last request was refused without an id. */
+	static __thread bool refused;
 	struct arrival a = {.node = node, .service = target_service(node)};
 	enum target_fault fault;
 	bool stopped;
@@ -151,6 +164,17 @@
 		report_violation("target %s got request '%s', which no caller sent", own_id, id);
 		return false;
 	}
+	if (refused) {
+		refused = false;
+		if (!http_answer(fd, 503, REFUSAL_FIELDS, ""))
+			return false;
+		sleep_us(COPY_LEAD_US);
+	}
+	if (fault == TARGET_REFUSES_AGAIN) {
+		refused = true;
+		record_arrival(r, &a, false);
+		return http_answer(fd, 503, REFUSAL_FIELDS, "");
+	}
 	if (fault == TARGET_SHEDS) {
 		record_arrival(r, &a, false);
 		snprintf(fields, sizeof(fields), "X-Not-Executed: 1\r\nX-Attempt-Id: %s\r\n", id);
@@ -170,41 +194,56 @@
 	return send_answer(fd, id, seal, 200, body, fault);
 }
 
-static void announce(uint32_t node)
+/* Sends a report; returns the status of the answer, or 0. */
+static int send_report(uint32_t node, const char *state)
 {
 	struct target *t = &targets[node];
 	char path[96], body[512], addr[ADDR_BYTES], control[ADDR_BYTES];
-	bool draining;
-	uint32_t incarnation;
-	int status;
 
 	address(addr, 10 + node, 18107);
 	address(control, 10 + node, 18105);
 	pthread_mutex_lock(&t->lock);
-	draining = t->state == STATE_DRAINING;
-	incarnation = t->incarnation;
 	snprintf(path, sizeof(path), "/instances/%s", t->id);
 	snprintf(body, sizeof(body),
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%u\",\"version\":\"v1\","
 		 "\"slots\":%d,\"state\":\"%s\",\"coldRemaining\":\"0ms\",\"sequence\":%llu,"
 		 "\"born\":%llu}",
-		 target_service(node), addr, node % 2, SLOTS, draining ? "draining" : "ready",
+		 target_service(node), addr, node % 2, SLOTS, state,
 		 (unsigned long long)++t->sequence, (unsigned long long)t->started_ms);
 	pthread_mutex_unlock(&t->lock);
-	status = http_call_once(control, "PUT", path, body);
+	return http_call_once(control, "PUT", path, body);
+}
+
+static void record_leaving(struct target *t, uint32_t incarnation, int status)
+{
 	pthread_mutex_lock(&t->lock);
-	if (draining && status >= 200 && status < 300 && t->incarnation == incarnation &&
-	    !t->draining_ack_us)
+	if (status >= 200 && status < 300 && t->incarnation == incarnation && !t->draining_ack_us)
 		t->draining_ack_us = now_us();
 	pthread_mutex_unlock(&t->lock);
 }
 
+static void announce(uint32_t node)
+{
+	struct target *t = &targets[node];
+	bool draining;
+	uint32_t incarnation;
+	int status;
+
+	pthread_mutex_lock(&t->lock);
+	draining = t->state == STATE_DRAINING;
+	incarnation = t->incarnation;
+	pthread_mutex_unlock(&t->lock);
+	status = send_report(node, draining ? "draining" : "ready");
+	if (draining)
+		record_leaving(t, incarnation, status);
+}
+
 static void *run_announcer(void *arg)
 {
 	uint32_t node = (uint32_t)(uintptr_t)arg;
 
 	while (!soak.stopping) {
-		if (targets[node].state != STATE_STOPPED)
+		if (targets[node].state == STATE_READY || targets[node].state == STATE_DRAINING)
 			announce(node);
 		sleep_us(ANNOUNCE_INTERVAL_US);
 	}
@@ -243,24 +282,56 @@
 	pthread_mutex_unlock(&targets[node].lock);
 }
 
-void target_replace(uint32_t node, bool planned)
+static void restart(uint32_t node)
 {
 	struct target *t = &targets[node];
+
+	set_state(node, STATE_STOPPED);
+	sleep_us(RESTART_DELAY_US);
+	pthread_mutex_lock(&t->lock);
+	start_incarnation(node);
+	pthread_mutex_unlock(&t->lock);
+}
+
+/* Announces that the target leaves; returns the status of the answer, or 0. */
+static int send_leaving(uint32_t node)
+{
 	char path[96], control[ADDR_BYTES];
 
+	address(control, 10 + node, 18105);
+	snprintf(path, sizeof(path), "/instances/%s", targets[node].id);
+	return http_call_once(control, "DELETE", path, "");
+}
+
+void target_replace(uint32_t node, bool planned)
+{
+	struct target *t = &targets[node];
+
 	if (planned) {
 		set_state(node, STATE_DRAINING);
 		for (uint64_t until_us = now_us() + 3 * BR_US_PER_S;
 		     !t->draining_ack_us && now_us() < until_us;)
 			sleep_us(20 * BR_US_PER_MS);
 		sleep_us(DRAIN_US + 2 * SLACK_US);
-		address(control, 10 + node, 18105);
-		snprintf(path, sizeof(path), "/instances/%s", t->id);
-		http_call_once(control, "DELETE", path, "");
+		send_leaving(node);
 	}
-	set_state(node, STATE_STOPPED);
-	sleep_us(RESTART_DELAY_US);
-	pthread_mutex_lock(&t->lock);
-	start_incarnation(node);
-	pthread_mutex_unlock(&t->lock);
+	restart(node);
+}
+
+void target_leave_around_restart(uint32_t node)
+{
+	struct target *t = &targets[node];
+
+	set_state(node, STATE_LEFT);
+	record_leaving(t, t->incarnation, send_leaving(node));
+	sleep_us(KILL_DELAY_US);
+	stability_record_disturbance(node, now_us());
+	process_signal_node(node, SIGKILL);
+	sleep_us(NODE_RESTART_DELAY_US);
+	process_start_node(node);
+	stability_record_disturbance(node, now_us());
+	sleep_us(LATE_REPORT_DELAY_US - KILL_DELAY_US - NODE_RESTART_DELAY_US);
+	send_report(node, "ready");
+	sleep_us(END_DELAY_US - LATE_REPORT_DELAY_US);
+	restart(node);
 }
