Bound what a node holds for callers that read slowly

Cause: an answer was copied twice on its way to the caller's connection, a copy was freed only with its last byte, and nothing bounded the sum of unsent bytes.

Change: the body of an answer is handed on, not copied. Long bytes are queued in pieces that are freed once sent, and large memory goes back to the system at once. When received and unsent bytes take half of the memory, answers are not read further and new requests and jobs are refused as not run; calls of running jobs are taken.

Why it works: what waits for slow readers shrinks as they read, and what comes beyond the bound waits at the servers or is not begun.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -121,7 +121,12 @@
  * forwarded, and their buffers grow by doubling.
  */
 #define BOARD_MESSAGES_DIVISOR 6
-/** Part of that memory which one message may take. */
+/*
+ * Part of the process's memory that received and unsent messages may take before no further answers
+ * are read and no new work is taken.
+ */
+#define BOARD_PAUSE_DIVISOR 2
+/** Part of the memory for received messages which one message may take. */
 #define BOARD_MESSAGE_DIVISOR 4
 
 /** Limits of messages from nodes and targets; the total over all connections also binds. */
--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -24,7 +24,8 @@
 struct exchange {
 	struct caller_conn *conn;
 	struct request *request;
-	struct buf answer;
+	/** The answer; a long body has a buffer of its own, so that it is not copied. */
+	struct buf answer, body;
 	/** starting: in request_start(); close_after: the connection ends with this answer. */
 	bool starting, answered, close_after;
 	struct exchange *next;
@@ -55,6 +56,7 @@
 		if (ex->request)
 			request_cancel(ex->request);
 		buf_free(&ex->answer);
+		buf_free(&ex->body);
 		free(ex);
 	}
 	LIST_REMOVE(c, link);
@@ -76,6 +78,7 @@
 			c->tail = NULL;
 		c->n_exchanges--;
 		http_conn_send(c->conn, &ex->answer);
+		http_conn_send(c->conn, &ex->body);
 		free(ex);
 		if (!close_after)
 			continue;
@@ -91,12 +94,17 @@
 	}
 }
 
-static void write_answer(struct exchange *ex, const struct request_answer *a)
+static void write_answer(struct exchange *ex, struct request_answer *a)
 {
 	buf_printf(&ex->answer, "HTTP/1.1 %u %s\r\n", a->status, http_reason(a->status));
 	buf_append(&ex->answer, a->fields.data, a->fields.len);
 	buf_printf(&ex->answer, "%s\r\n", ex->close_after ? "Connection: close\r\n" : "");
-	buf_append(&ex->answer, a->body.data, a->body.len);
+	if (a->body.len < HTTP_LONG_BODY_BYTES) {
+		buf_append(&ex->answer, a->body.data, a->body.len);
+		return;
+	}
+	ex->body = a->body;
+	a->body = (struct buf){0};
 }
 
 static void on_answer(void *ctx, struct request *r, struct request_answer *answer)
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -19,6 +19,7 @@
 #include "platform/decode.h"
 #include "platform/store.h"
 
+#include <malloc.h>
 #include <popt.h>
 #include <signal.h>
 #include <sodium.h>
@@ -28,6 +29,7 @@
 #include <sys/stat.h>
 
 #define SWEEP_MS 500
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
 #define STOP_CHECK_MS 50
 /* The platform probes once a second; two failed probes remove a node from the callers' lists. */
 #define STOP_DETECTED_MS 2300
@@ -190,6 +192,7 @@
 	struct node *n = arg;
 
 	target_sweep(n->board.target);
+	http_budget_resume(&n->board.messages);
 	members_sweep(n->board.members);
 	peer_server_sweep(n->peers);
 	caller_server_sweep(n->callers);
@@ -253,11 +256,14 @@
 static int start(struct node *n)
 {
 	struct board *b = &n->board;
+	size_t memory_bytes = (size_t)n->settings.memory_mb * 1024 * 1024;
 
 	b->loop = uv_default_loop();
 	b->settings = &n->settings;
-	b->messages.limit_bytes =
-		(size_t)n->settings.memory_mb * 1024 * 1024 / BOARD_MESSAGES_DIVISOR;
+	b->messages.limit_bytes = memory_bytes / BOARD_MESSAGES_DIVISOR;
+	b->messages.pause_bytes = memory_bytes / BOARD_PAUSE_DIVISOR;
+	/* Memory of long messages goes back to the system at once, however long others live. */
+	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 	br_rng_seed(&b->rng, br_hash_str(n->settings.node, clock_now_us() ^ clock_wall_ms()));
 	b->incarnation = (uint32_t)br_rng_next(&b->rng) | 1;
 	event_log_start(b->loop, n->settings.node);
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -204,7 +204,7 @@
 				     .call_failed = end->call_failed,
 				     .version = config_version(board),
 				     .confirmation_age_ms = config_confirmation_age_ms(board)};
-	const struct http_msg *m = end->answer;
+	struct http_msg *m = end->answer;
 	struct buf b = {0};
 
 	target_get_load(board->target, &end_field);
@@ -219,9 +219,11 @@
 	else
 		buf_append_text(&b, "Content-Length: 0\r\n");
 	buf_append_text(&b, "\r\n");
-	if (m)
+	if (m && m->body.len < HTTP_LONG_BODY_BYTES)
 		buf_append(&b, m->body.data, m->body.len);
 	http_conn_send(pc->conn, &b);
+	if (m && m->body.len >= HTTP_LONG_BODY_BYTES)
+		http_conn_send(pc->conn, &m->body);
 }
 
 static void on_job_done(struct job *job, const struct job_end *end)
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -153,7 +153,8 @@
 	return left_ms * percent / 100 + 1;
 }
 
-static void forward_answer(struct request *r, const struct http_msg *m)
+/* Takes over the body of the target's answer. */
+static void forward_answer(struct request *r, struct http_msg *m)
 {
 	struct request_answer a = {.status = m->status};
 
@@ -165,7 +166,8 @@
 			buf_printf(&a.fields, "%s: %s\r\n", name, http_msg_field_value(m, i));
 	}
 	http_msg_write_length(&a.fields, m);
-	buf_append(&a.body, m->body.data, m->body.len);
+	a.body = m->body;
+	m->body = (struct buf){0};
 	if (m->status < 500)
 		EVENT(EVENT_INFO, "request", "answered", EVENT_TEXT("request", r->id),
 		      EVENT_TEXT("route", r->route->name), EVENT_TEXT("target", r->target),
@@ -616,6 +618,11 @@
 		refuse_request(r, "the node is stopping");
 		return;
 	}
+	/* Its answer might find no room, nor those of others. */
+	if (!r->is_call && http_budget_is_short(&r->board->messages)) {
+		refuse_request(r, "memory is short");
+		return;
+	}
 	set_deadlines(r);
 	if (clock_now_us() >= r->deadline_us) {
 		refuse_request(r, "its time was over when it was read");
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -502,7 +502,9 @@
 	if (t->status.phase == TARGET_CLOSED ||
 	    !br_stop_can_finish(&t->board->stop, board_expected_us(t->board, TIME_TARGET), now_us))
 		return JOB_REASON_DRAINING;
-	return now_us >= job->deadline_us ? JOB_REASON_QUEUE_REFUSED : JOB_REASON_NONE;
+	if (now_us >= job->deadline_us || http_budget_is_short(&t->board->messages))
+		return JOB_REASON_QUEUE_REFUSED;
+	return JOB_REASON_NONE;
 }
 
 /*
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -11,6 +11,8 @@
 
 #define LISTEN_BACKLOG 1024
 #define READ_BYTES 65536
+/* Longer bytes are queued in pieces, whose memory is free as soon as the peer has read them. */
+#define PIECE_BYTES (256UL * 1024)
 /*
  * Set on client connections only, since a server may become unreachable without a reset. The kernel
  * closes a connection whose sent bytes stay unacknowledged for USER_TIMEOUT_MS; keep-alive probes
@@ -33,6 +35,9 @@
 	/** HTTP status for an invalid message, set by the parser's callbacks; 0 for none. */
 	uint16_t bad_status;
 	bool value_open, server, closing, finishing, headers_done, no_body;
+	/** In the list of paused connections of the budget. */
+	bool paused;
+	LIST_ENTRY(http_conn) paused_link;
 };
 
 struct write_op {
@@ -147,6 +152,28 @@
 	return 0;
 }
 
+/* Leaves further bytes of an answer with the server while there is no room for them. */
+static void pause_if_short(struct http_conn *c)
+{
+	struct http_budget *b = c->limits.budget;
+
+	if (c->server || c->paused || !b || !http_budget_is_short(b))
+		return;
+	c->paused = true;
+	LIST_INSERT_HEAD(&b->paused, c, paused_link);
+	uv_read_stop((uv_stream_t *)&c->tcp);
+}
+
+static void resume(struct http_conn *c);
+
+static void unpause(struct http_conn *c)
+{
+	if (!c->paused)
+		return;
+	c->paused = false;
+	LIST_REMOVE(c, paused_link);
+}
+
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct http_conn *c = p->data;
@@ -156,6 +183,7 @@
 	if (!http_msg_charge(c->msg, len))
 		return set_error(c, 503);
 	buf_append(&c->msg->body, at, len);
+	pause_if_short(c);
 	return 0;
 }
 
@@ -167,6 +195,8 @@
 	m->keep_alive = http_should_keep_alive(p) != 0;
 	c->msg = NULL;
 	c->begun_us = 0;
+	if (c->paused)
+		resume(c);
 	c->ops->message(c, m);
 	return c->closing || c->finishing ? -1 : 0;
 }
@@ -194,6 +224,7 @@
 	if (c->closing)
 		return;
 	c->closing = true;
+	unpause(c);
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
@@ -350,6 +381,22 @@
 	return c->owner;
 }
 
+static void resume(struct http_conn *c)
+{
+	int rc;
+
+	unpause(c);
+	rc = uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	if (rc)
+		report_closed(c, rc, 0);
+}
+
+void http_budget_resume(struct http_budget *b)
+{
+	while (!LIST_EMPTY(&b->paused) && !http_budget_is_short(b))
+		resume(LIST_FIRST(&b->paused));
+}
+
 static void add_unsent(struct http_conn *c, size_t bytes)
 {
 	c->unsent += bytes;
@@ -359,9 +406,13 @@
 
 static void remove_unsent(struct http_conn *c, size_t bytes)
 {
+	struct http_budget *b = c->limits.budget;
+
 	c->unsent -= bytes;
-	if (c->limits.budget)
-		c->limits.budget->unsent_bytes -= bytes;
+	if (!b)
+		return;
+	b->unsent_bytes -= bytes;
+	http_budget_resume(b);
 }
 
 static void on_written(uv_write_t *req, int status)
@@ -380,10 +431,43 @@
 		http_conn_close(c);
 }
 
+/* Queues bytes, whose memory it takes over; the first sent of them are with the kernel already. */
+static void queue_bytes(struct http_conn *c, struct buf *bytes, size_t sent)
+{
+	struct write_op *w = xcalloc(1, sizeof(*w));
+	uv_buf_t chunk;
+
+	w->conn = c;
+	w->bytes = *bytes;
+	w->remaining = bytes->len - sent;
+	w->req.data = w;
+	*bytes = (struct buf){0};
+	add_unsent(c, w->remaining);
+	chunk = uv_buf_init(w->bytes.data + sent, (unsigned int)w->remaining);
+	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &chunk, 1, on_written)) {
+		remove_unsent(c, w->remaining);
+		buf_free(&w->bytes);
+		free(w);
+	}
+}
+
+static void queue_in_pieces(struct http_conn *c, struct buf *bytes, size_t sent)
+{
+	while (sent < bytes->len) {
+		size_t left = bytes->len - sent;
+		size_t len = left < PIECE_BYTES ? left : PIECE_BYTES;
+		struct buf piece = {0};
+
+		buf_append(&piece, bytes->data + sent, len);
+		queue_bytes(c, &piece, 0);
+		sent += len;
+	}
+	buf_free(bytes);
+}
+
 void http_conn_send(struct http_conn *c, struct buf *bytes)
 {
 	uv_buf_t chunk = uv_buf_init(bytes->data, (unsigned int)bytes->len);
-	struct write_op *w;
 	int sent = 0;
 
 	if (c->closing || !bytes->len) {
@@ -394,23 +478,12 @@
 		sent = uv_try_write((uv_stream_t *)&c->tcp, &chunk, 1);
 	if (sent < 0)
 		sent = 0;
-	if ((size_t)sent == bytes->len) {
+	if ((size_t)sent == bytes->len)
 		buf_free(bytes);
-		return;
-	}
-	w = xcalloc(1, sizeof(*w));
-	w->conn = c;
-	w->bytes = *bytes;
-	w->remaining = bytes->len - (size_t)sent;
-	w->req.data = w;
-	*bytes = (struct buf){0};
-	add_unsent(c, w->remaining);
-	chunk = uv_buf_init(w->bytes.data + sent, (unsigned int)w->remaining);
-	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &chunk, 1, on_written)) {
-		remove_unsent(c, w->remaining);
-		buf_free(&w->bytes);
-		free(w);
-	}
+	else if (bytes->len - (size_t)sent > PIECE_BYTES)
+		queue_in_pieces(c, bytes, (size_t)sent);
+	else
+		queue_bytes(c, bytes, (size_t)sent);
 }
 
 size_t http_conn_unsent(const struct http_conn *c)
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -14,6 +14,9 @@
 
 struct http_conn;
 
+/** A shorter body is copied behind its head, so that one call sends both. */
+#define HTTP_LONG_BODY_BYTES 65536
+
 /** Maximum sizes of the header and the body of a message from the peer. */
 struct http_limits {
 	uint32_t header_bytes;
@@ -73,6 +76,9 @@
 /** Closes once all queued bytes are sent; bytes received until then are discarded. */
 void http_conn_finish(struct http_conn *c);
 
+/** Reads the answers on that were left with their servers, as far as there is room again. */
+void http_budget_resume(struct http_budget *b);
+
 /**
  * Opens a listening socket; cb is called for each new connection and data is stored in
  * server->data. Returns 0 or a negative error number.
--- a/net/http_msg.h
+++ b/net/http_msg.h
@@ -9,20 +9,36 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 /** Offsets in http_msg.text of a header field's name and value, both NUL-terminated. */
 struct http_field {
 	uint32_t name, value;
 };
 
+struct http_conn;
+
 /** Bytes that the connections that share it hold. */
 struct http_budget {
 	/** Bytes of received messages, and their limit. */
 	size_t held_bytes, limit_bytes;
 	/** Bytes that wait to be sent, also on connections that their owners have finished. */
 	size_t unsent_bytes;
+	/**
+	 * Number of received and unsent bytes from which on answers are not read further, until the
+	 * peers have read what waits for them; 0 for none.
+	 */
+	size_t pause_bytes;
+	/** Client connections that are not read. */
+	LIST_HEAD(, http_conn) paused;
 };
 
+/** Tests whether answers are not read further at present. */
+static inline bool http_budget_is_short(const struct http_budget *b)
+{
+	return b->pause_bytes && b->held_bytes + b->unsent_bytes >= b->pause_bytes;
+}
+
 struct http_msg {
 	/** Method number of http_parser; requests only. */
 	uint8_t method;
