Estimate the expected duration between the bounds of a bucket

Cause, found by reading: a stopping node compared the time it has left with the upper bound of the bucket of the 95th percentile. With work of 1.2 s that is 5 s, so that a node would refuse new requests from half a second after its SIGTERM, long before its callers notice.

Change: the quantile is interpolated within its bucket, and there are bounds at 2 and 3 s as well.

Evidence: unit mesh_metrics, quantile_is_near_the_recorded_durations: with 150 ms for 90 and 1.2 s for 10 in 100, the 95th percentile is between 1 and 2 s.

--- a/mesh/histogram.c
+++ b/mesh/histogram.c
@@ -4,9 +4,9 @@
 
 #define US_PER_S 1e6
 
-static const uint64_t bounds_us[HISTOGRAM_BOUNDS] = {100,    250,    500,     1000,   2500,
-						     5000,   10000,  25000,   50000,  100000,
-						     250000, 500000, 1000000, 5000000};
+static const uint64_t bounds_us[HISTOGRAM_BOUNDS] = {
+	100,   250,    500,    1000,   2500,	5000,	 10000,	  25000,
+	50000, 100000, 250000, 500000, 1000000, 2000000, 3000000, 5000000};
 
 void histogram_record(struct histogram *h, uint64_t time_us)
 {
@@ -20,16 +20,22 @@
 
 uint64_t histogram_quantile_us(const struct histogram *h, uint32_t permille)
 {
-	uint64_t n = 0, below = 0;
+	uint64_t n = 0, below = 0, lower_us = 0;
+	double rank;
 
 	for (int i = 0; i <= HISTOGRAM_BOUNDS; i++)
 		n += h->counts[i];
+	rank = (double)n * permille / 1000;
 	for (int i = 0; n && i < HISTOGRAM_BOUNDS; i++) {
-		below += h->counts[i];
-		if (below * 1000 >= n * permille)
-			return bounds_us[i];
+		uint64_t count = h->counts[i];
+
+		if (count && (double)(below + count) >= rank)
+			return lower_us + (uint64_t)((double)(bounds_us[i] - lower_us) *
+						     (rank - (double)below) / (double)count);
+		below += count;
+		lower_us = bounds_us[i];
 	}
-	return n ? bounds_us[HISTOGRAM_BOUNDS - 1] : 0;
+	return n ? lower_us : 0;
 }
 
 void histogram_write(const struct histogram *h, const char *name, const char *label,
--- a/mesh/histogram.h
+++ b/mesh/histogram.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 /** Number of buckets with an upper bound; one more bucket counts longer durations. */
-#define HISTOGRAM_BOUNDS 14
+#define HISTOGRAM_BOUNDS 16
 
 /** Must be zeroed before use. */
 struct histogram {
@@ -21,8 +21,8 @@
 void histogram_record(struct histogram *h, uint64_t time_us);
 
 /**
- * Upper bound of the bucket with the given quantile (per mille) of the durations; 0 if there are
- * none, the last bound for longer ones.
+ * Estimates the given quantile (per mille) of the durations, as if they were spread evenly over each
+ * bucket; 0 if there are none, the last bound for longer ones.
  */
 uint64_t histogram_quantile_us(const struct histogram *h, uint32_t permille);
 
--- a/tests/unit/mesh_metrics.c
+++ b/tests/unit/mesh_metrics.c
@@ -1,3 +1,4 @@
+#include "briarreel/types.h"
 #include "mesh/event_log.h"
 #include "mesh/histogram.h"
 
@@ -70,3 +71,22 @@
 	close(pipe_fds[0]);
 	close(pipe_fds[1]);
 }
+
+/* Guards against an expected duration that is far from those that were recorded. */
+Test(mesh_metrics, quantile_is_near_the_recorded_durations)
+{
+	struct histogram h = {0};
+
+	cr_assert_eq(histogram_quantile_us(&h, 950), 0);
+	for (int i = 0; i < 90; i++)
+		histogram_record(&h, 150 * BR_US_PER_MS);
+	for (int i = 0; i < 10; i++)
+		histogram_record(&h, 1200 * BR_US_PER_MS);
+	cr_assert_geq(histogram_quantile_us(&h, 500), 100 * BR_US_PER_MS);
+	cr_assert_leq(histogram_quantile_us(&h, 500), 250 * BR_US_PER_MS);
+	cr_assert_geq(histogram_quantile_us(&h, 950), 1000 * BR_US_PER_MS);
+	cr_assert_leq(histogram_quantile_us(&h, 950), 2000 * BR_US_PER_MS);
+	for (int i = 0; i < 1000; i++)
+		histogram_record(&h, 60 * BR_US_PER_S);
+	cr_assert_eq(histogram_quantile_us(&h, 950), 5 * BR_US_PER_S);
+}
