Let long answers wait for room instead of losing them

Callers saw 502 for requests that their targets had answered whole, when several long answers arrived at the same time (KNOWN-RED.txt: node-slow-readers with the ThreadSanitizer programs beside load, 13 of 26 lost). Cause: the read that went over the limit for received messages ended its connection; each answer could hold a part, and none had room for its rest.

An answer now reserves its announced length before its body is read, and waits at its server without room (net/http_budget.c). Answers of unknown length take what is free, one at a time may use a third that is kept for it. Requests have a part of their own. Answers of the target wait while three quarters of the memory for messages are unsent bytes for other nodes, since two nodes full of answers for each other would both wait.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -118,23 +118,38 @@
 
 /*
  * Part of the process's memory that received messages may take. They are copied when they are
- * forwarded, and their buffers grow by doubling.
+ * forwarded, and their buffers may grow by doubling.
  */
 #define BOARD_MESSAGES_DIVISOR 6
-/*
- * Part of the process's memory that received and unsent messages may take before no further answers
- * are read and no new work is taken.
- */
+/** Part of the process's memory that received and unsent messages may take. */
 #define BOARD_PAUSE_DIVISOR 2
 /** Part of the memory for received messages which one message may take. */
 #define BOARD_MESSAGE_DIVISOR 4
+/**
+ * Part of the memory for received and unsent messages that answers for other nodes leave free, so
+ * that answers for callers are always received. Without it two nodes whose memory is full of
+ * answers for each other would both wait for the other one to read.
+ */
+#define BOARD_CALLERS_DIVISOR 4
 
-/** Limits of messages from nodes and targets; the total over all connections also binds. */
+/** Limits of jobs and answers from nodes; the total over all connections also binds. */
 static inline struct http_limits board_message_limits(struct board *b, uint32_t header_bytes)
 {
 	return (struct http_limits){.header_bytes = header_bytes,
 				    .body_bytes = b->messages.limit_bytes / BOARD_MESSAGE_DIVISOR,
-				    .budget = &b->messages};
+				    .budget = &b->messages,
+				    .peer_is_node = true};
+}
+
+/** Limits of answers of the target on this VM. */
+static inline struct http_limits board_target_limits(struct board *b, uint32_t header_bytes)
+{
+	struct http_limits limits = board_message_limits(b, header_bytes);
+	size_t pause_bytes = b->messages.pause_bytes;
+
+	limits.peer_is_node = false;
+	limits.unsent_to_nodes_max_bytes = pause_bytes - pause_bytes / BOARD_CALLERS_DIVISOR;
+	return limits;
 }
 
 static inline void board_count(struct board *b, enum counter c)
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -192,7 +192,6 @@
 	struct node *n = arg;
 
 	target_sweep(n->board.target);
-	http_budget_resume(&n->board.messages);
 	members_sweep(n->board.members);
 	peer_server_sweep(n->peers);
 	caller_server_sweep(n->callers);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -113,7 +113,7 @@
 {
 	struct conn_pool_cfg cfg = {
 		.addr = t->board->settings->target_addr,
-		.limits = board_message_limits(t->board, ANSWER_HEADER_MAX_BYTES),
+		.limits = board_target_limits(t->board, ANSWER_HEADER_MAX_BYTES),
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.idle_ms = IDLE_MS,
 		.idle_max = QUEUE_MAX,
--- a/net/buf.c
+++ b/net/buf.c
@@ -51,6 +51,18 @@
 	b->cap = cap;
 }
 
+void buf_reserve(struct buf *b, size_t bytes)
+{
+	size_t cap = b->len + bytes + 1;
+
+	if (cap <= b->cap)
+		return;
+	b->data = realloc(b->data, cap);
+	if (!b->data)
+		out_of_memory(cap);
+	b->cap = cap;
+}
+
 void buf_append(struct buf *b, const void *data, size_t len)
 {
 	if (!len)
--- a/net/buf.h
+++ b/net/buf.h
@@ -17,6 +17,9 @@
 /** Frees the bytes; the buffer is empty and usable afterwards. */
 void buf_free(struct buf *b);
 
+/** Makes room for so many further bytes and a terminator, and for no more. */
+void buf_reserve(struct buf *b, size_t bytes);
+
 void buf_append(struct buf *b, const void *data, size_t len);
 
 /** Appends a string without its terminator. */
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -35,9 +35,13 @@
 	/** HTTP status for an invalid message, set by the parser's callbacks; 0 for none. */
 	uint16_t bad_status;
 	bool value_open, server, closing, finishing, headers_done, no_body;
-	/** In the list of paused connections of the budget. */
-	bool paused;
-	LIST_ENTRY(http_conn) paused_link;
+	/** Length of the body being received, as announced; UINT64_MAX if it is unknown. */
+	uint64_t announced_bytes;
+	/** Clients only: a request has been sent, and no answer was received since. */
+	bool awaits_answer;
+	/** In the budget's list of connections that wait for room. */
+	bool waiting;
+	TAILQ_ENTRY(http_conn) waiting_link;
 };
 
 struct write_op {
@@ -55,9 +59,10 @@
 
 	http_msg_destroy(c->msg);
 	c->msg = http_msg_create();
-	c->msg->budget = c->limits.budget;
+	c->msg->charge = (struct http_charge){.budget = c->limits.budget, .is_request = c->server};
 	c->value_open = false;
 	c->headers_done = false;
+	c->announced_bytes = UINT64_MAX;
 	c->begun_us = clock_now_us();
 	if (c->ops->begin)
 		c->ops->begin(c);
@@ -70,14 +75,23 @@
 	return -1;
 }
 
+/* Counts received bytes. Those of answers are read only as far as there is room for them. */
+static int charge(struct http_conn *c, size_t bytes)
+{
+	if (c->server && c->limits.budget && !http_budget_takes_request(c->limits.budget, bytes))
+		return set_error(c, 503);
+	http_charge_add(&c->msg->charge, bytes);
+	return 0;
+}
+
 static int append_text(struct http_conn *c, const char *at, size_t len)
 {
 	struct buf *text = &c->msg->text;
 
 	if (text->len + len + 1 > c->limits.header_bytes)
 		return set_error(c, 431);
-	if (!http_msg_charge(c->msg, len))
-		return set_error(c, 503);
+	if (charge(c, len))
+		return -1;
 	buf_append(text, at, len);
 	return 0;
 }
@@ -126,6 +140,86 @@
 	return append_text(c, at, len);
 }
 
+/* Bytes of the message being received that may still arrive; one more shows that it is too long. */
+static uint64_t missing_bytes(const struct http_conn *c)
+{
+	uint64_t body_bytes = c->limits.body_bytes;
+
+	if (!c->headers_done)
+		return c->limits.header_bytes - c->msg->text.len;
+	if (c->announced_bytes <= body_bytes)
+		return c->announced_bytes - c->msg->body.len;
+	return body_bytes + 1 - c->msg->body.len;
+}
+
+/* Two nodes whose memory is full of answers for each other would both wait for the other one. */
+static bool waits_for_nodes(const struct http_conn *c)
+{
+	size_t max_bytes = c->limits.unsent_to_nodes_max_bytes;
+
+	return max_bytes && c->limits.budget->unsent_to_nodes_bytes > max_bytes;
+}
+
+static bool length_is_known(const struct http_conn *c)
+{
+	return c->headers_done && c->announced_bytes != UINT64_MAX;
+}
+
+static void hold_room(struct http_conn *c, uint64_t bytes)
+{
+	http_charge_reserve(&c->msg->charge, bytes);
+	if (length_is_known(c))
+		buf_reserve(&c->msg->body, bytes);
+}
+
+static bool can_reserve(const struct http_conn *c, uint64_t bytes)
+{
+	const struct http_budget *b = c->limits.budget;
+
+	return !b || (!waits_for_nodes(c) && http_budget_can_reserve(b, bytes));
+}
+
+/* Reserves room for the rest of an answer, the kept room if nothing else is left. */
+static bool reserve_rest(struct http_conn *c)
+{
+	struct http_budget *b = c->limits.budget;
+	uint64_t bytes = missing_bytes(c);
+
+	if (!can_reserve(c, bytes)) {
+		if ((b->kept_for && b->kept_for != c) || waits_for_nodes(c) ||
+		    !http_budget_can_keep(b, bytes))
+			return false;
+		b->kept_for = c;
+	}
+	hold_room(c, bytes);
+	return true;
+}
+
+static void release_kept_room(struct http_conn *c)
+{
+	if (c->limits.budget && c->limits.budget->kept_for == c)
+		c->limits.budget->kept_for = NULL;
+}
+
+static bool has_no_body(uint16_t status)
+{
+	return status < 200 || status == 204 || status == 304;
+}
+
+/* Reserves room for an announced body. Without it the body waits at the server. */
+static int announce_body(struct http_conn *c, const http_parser *p)
+{
+	if (has_no_body(c->msg->status) || (p->flags & F_CHUNKED) ||
+	    p->content_length == UINT64_MAX)
+		return 0;
+	if (p->content_length > c->limits.body_bytes)
+		return set_error(c, 413);
+	c->announced_bytes = p->content_length;
+	if (c->announced_bytes && can_reserve(c, c->announced_bytes))
+		hold_room(c, c->announced_bytes);
+	return 0;
+}
+
 static int on_headers(http_parser *p)
 {
 	struct http_conn *c = p->data;
@@ -138,7 +232,7 @@
 	if (!c->server) {
 		/* A nonzero result makes the parser skip the body. */
 		c->msg->no_body = c->no_body && p->status_code >= 200;
-		return c->msg->no_body;
+		return c->msg->no_body ? 1 : announce_body(c, p);
 	}
 	if (p->upgrade || p->http_major != 1)
 		return set_error(c, 400);
@@ -152,38 +246,15 @@
 	return 0;
 }
 
-/* Leaves further bytes of an answer with the server while there is no room for them. */
-static void pause_if_short(struct http_conn *c)
-{
-	struct http_budget *b = c->limits.budget;
-
-	if (c->server || c->paused || !b || !http_budget_is_short(b))
-		return;
-	c->paused = true;
-	LIST_INSERT_HEAD(&b->paused, c, paused_link);
-	uv_read_stop((uv_stream_t *)&c->tcp);
-}
-
-static void resume(struct http_conn *c);
-
-static void unpause(struct http_conn *c)
-{
-	if (!c->paused)
-		return;
-	c->paused = false;
-	LIST_REMOVE(c, paused_link);
-}
-
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct http_conn *c = p->data;
 
 	if (c->msg->body.len + len > c->limits.body_bytes)
 		return set_error(c, 413);
-	if (!http_msg_charge(c->msg, len))
-		return set_error(c, 503);
+	if (charge(c, len))
+		return -1;
 	buf_append(&c->msg->body, at, len);
-	pause_if_short(c);
 	return 0;
 }
 
@@ -195,8 +266,9 @@
 	m->keep_alive = http_should_keep_alive(p) != 0;
 	c->msg = NULL;
 	c->begun_us = 0;
-	if (c->paused)
-		resume(c);
+	c->awaits_answer = false;
+	http_charge_trim(&m->charge);
+	release_kept_room(c);
 	c->ops->message(c, m);
 	return c->closing || c->finishing ? -1 : 0;
 }
@@ -211,6 +283,14 @@
 	.on_message_complete = on_complete,
 };
 
+static void stop_waiting(struct http_conn *c)
+{
+	if (!c->waiting)
+		return;
+	c->waiting = false;
+	TAILQ_REMOVE(&c->limits.budget->waiting, c, waiting_link);
+}
+
 static void on_closed(uv_handle_t *handle)
 {
 	struct http_conn *c = handle->data;
@@ -224,7 +304,8 @@
 	if (c->closing)
 		return;
 	c->closing = true;
-	unpause(c);
+	stop_waiting(c);
+	release_kept_room(c);
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
@@ -242,11 +323,32 @@
 	http_conn_close(c);
 }
 
+/* Number of bytes that may be read now without more being held than the budget allows. */
+static size_t readable_bytes(const struct http_conn *c)
+{
+	const struct http_budget *b = c->limits.budget;
+	size_t bytes = 0;
+
+	if (c->server || c->finishing || !b)
+		return READ_BYTES;
+	/* Nothing but the end of the connection is expected. */
+	if (!c->msg && !c->awaits_answer)
+		return HTTP_BUDGET_READ_MIN_BYTES;
+	if (c->msg)
+		bytes = http_charge_reserved(&c->msg->charge);
+	/* A body that has got no room stays at its server. */
+	if (!bytes && c->msg && length_is_known(c))
+		return 0;
+	if (!waits_for_nodes(c))
+		bytes += http_budget_free_bytes(b);
+	return bytes < READ_BYTES ? bytes : READ_BYTES;
+}
+
+/* An empty buffer makes libuv report ENOBUFS and leave the bytes in the socket. */
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
 {
-	(void)handle;
 	(void)suggested;
-	*out = uv_buf_init(read_buffer, sizeof(read_buffer));
+	*out = uv_buf_init(read_buffer, (unsigned int)readable_bytes(handle->data));
 }
 
 /*
@@ -265,6 +367,8 @@
 	return UV_EOF;
 }
 
+static void wait_for_room(struct http_conn *c);
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *in)
 {
 	struct http_conn *c = stream->data;
@@ -272,6 +376,10 @@
 
 	if (c->closing || n == 0)
 		return;
+	if (n == UV_ENOBUFS) {
+		wait_for_room(c);
+		return;
+	}
 	if (n == UV_EOF)
 		n = end_of_stream(c);
 	if (n < 0) {
@@ -292,6 +400,61 @@
 		report_closed(c, -EPROTO, c->bad_status ? c->bad_status : 400);
 }
 
+/* Tests whether a waiting connection can be read on, and reserves the room for it. */
+static bool find_room(struct http_conn *c)
+{
+	if (c->msg)
+		return reserve_rest(c);
+	return readable_bytes(c) > 0;
+}
+
+/* Reads the answers on that wait at their servers, as far as there is room again. */
+static void resume_waiting(struct http_budget *b)
+{
+	struct http_conn *c, *next;
+
+	for (c = TAILQ_FIRST(&b->waiting); c; c = next) {
+		int rc;
+
+		next = TAILQ_NEXT(c, waiting_link);
+		if (!find_room(c))
+			continue;
+		stop_waiting(c);
+		rc = uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+		if (!rc)
+			continue;
+		/* Its owner may close others; they have their turn at the next call. */
+		report_closed(c, rc, 0);
+		return;
+	}
+}
+
+static void on_before_poll(uv_prepare_t *handle)
+{
+	struct http_budget *b = handle->data;
+
+	resume_waiting(b);
+	if (TAILQ_EMPTY(&b->waiting))
+		uv_prepare_stop(handle);
+}
+
+/* Leaves what follows with the server until there is room. */
+static void wait_for_room(struct http_conn *c)
+{
+	struct http_budget *b = c->limits.budget;
+
+	uv_read_stop((uv_stream_t *)&c->tcp);
+	if (!b->before_poll) {
+		TAILQ_INIT(&b->waiting);
+		b->before_poll = xcalloc(1, sizeof(*b->before_poll));
+		b->before_poll->data = b;
+		uv_prepare_init(c->tcp.loop, b->before_poll);
+	}
+	c->waiting = true;
+	TAILQ_INSERT_TAIL(&b->waiting, c, waiting_link);
+	uv_prepare_start(b->before_poll, on_before_poll);
+}
+
 static struct http_conn *create(uv_loop_t *loop, const struct http_conn_ops *ops,
 				const struct http_limits *limits, void *owner)
 {
@@ -381,27 +544,16 @@
 	return c->owner;
 }
 
-static void resume(struct http_conn *c)
-{
-	int rc;
-
-	unpause(c);
-	rc = uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
-	if (rc)
-		report_closed(c, rc, 0);
-}
-
-void http_budget_resume(struct http_budget *b)
-{
-	while (!LIST_EMPTY(&b->paused) && !http_budget_is_short(b))
-		resume(LIST_FIRST(&b->paused));
-}
-
 static void add_unsent(struct http_conn *c, size_t bytes)
 {
+	struct http_budget *b = c->limits.budget;
+
 	c->unsent += bytes;
-	if (c->limits.budget)
-		c->limits.budget->unsent_bytes += bytes;
+	if (!b)
+		return;
+	b->unsent_bytes += bytes;
+	if (c->limits.peer_is_node)
+		b->unsent_to_nodes_bytes += bytes;
 }
 
 static void remove_unsent(struct http_conn *c, size_t bytes)
@@ -412,7 +564,8 @@
 	if (!b)
 		return;
 	b->unsent_bytes -= bytes;
-	http_budget_resume(b);
+	if (c->limits.peer_is_node)
+		b->unsent_to_nodes_bytes -= bytes;
 }
 
 static void on_written(uv_write_t *req, int status)
@@ -474,6 +627,7 @@
 		buf_free(bytes);
 		return;
 	}
+	c->awaits_answer = !c->server;
 	if (!c->unsent)
 		sent = uv_try_write((uv_stream_t *)&c->tcp, &chunk, 1);
 	if (sent < 0)
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -23,6 +23,10 @@
 	uint64_t body_bytes;
 	/** Limit that messages of several connections share; NULL for none. */
 	struct http_budget *budget;
+	/** The peer is another node, which may in turn wait for this one to read. */
+	bool peer_is_node;
+	/** Answers are not received while more bytes wait for other nodes; 0 for no limit. */
+	size_t unsent_to_nodes_max_bytes;
 };
 
 struct http_conn_ops {
@@ -76,9 +80,6 @@
 /** Closes once all queued bytes are sent; bytes received until then are discarded. */
 void http_conn_finish(struct http_conn *c);
 
-/** Reads the answers on that were left with their servers, as far as there is room again. */
-void http_budget_resume(struct http_budget *b);
-
 /**
  * Opens a listening socket; cb is called for each new connection and data is stored in
  * server->data. Returns 0 or a negative error number.
--- a/net/http_msg.c
+++ b/net/http_msg.c
@@ -13,27 +13,13 @@
 {
 	if (!m)
 		return;
-	if (m->budget)
-		m->budget->held_bytes -= m->budget_bytes;
+	http_charge_release(&m->charge);
 	buf_free(&m->text);
 	buf_free(&m->body);
 	free(m->fields);
 	free(m);
 }
 
-bool http_msg_charge(struct http_msg *m, size_t bytes)
-{
-	struct http_budget *b = m->budget;
-
-	if (!b)
-		return true;
-	if (bytes > b->limit_bytes - b->held_bytes)
-		return false;
-	b->held_bytes += bytes;
-	m->budget_bytes += bytes;
-	return true;
-}
-
 const char *http_msg_target(const struct http_msg *m)
 {
 	return m->text.data + m->target;
--- a/net/http_msg.h
+++ b/net/http_msg.h
@@ -6,39 +6,16 @@
 #define NET_HTTP_MSG_H
 
 #include "net/buf.h"
+#include "net/http_budget.h"
 
 #include <stdbool.h>
 #include <stdint.h>
-#include <sys/queue.h>
 
 /** Offsets in http_msg.text of a header field's name and value, both NUL-terminated. */
 struct http_field {
 	uint32_t name, value;
 };
 
-struct http_conn;
-
-/** Bytes that the connections that share it hold. */
-struct http_budget {
-	/** Bytes of received messages, and their limit. */
-	size_t held_bytes, limit_bytes;
-	/** Bytes that wait to be sent, also on connections that their owners have finished. */
-	size_t unsent_bytes;
-	/**
-	 * Number of received and unsent bytes from which on answers are not read further, until the
-	 * peers have read what waits for them; 0 for none.
-	 */
-	size_t pause_bytes;
-	/** Client connections that are not read. */
-	LIST_HEAD(, http_conn) paused;
-};
-
-/** Tests whether answers are not read further at present. */
-static inline bool http_budget_is_short(const struct http_budget *b)
-{
-	return b->pause_bytes && b->held_bytes + b->unsent_bytes >= b->pause_bytes;
-}
-
 struct http_msg {
 	/** Method number of http_parser; requests only. */
 	uint8_t method;
@@ -55,20 +32,12 @@
 	struct http_field *fields;
 	uint32_t n_fields, cap_fields;
 	struct buf body;
-	/** Budget that the message's bytes count towards, or NULL; and their number. */
-	struct http_budget *budget;
-	size_t budget_bytes;
+	struct http_charge charge;
 };
 
 struct http_msg *http_msg_create(void);
 void http_msg_destroy(struct http_msg *m);
 
-/**
- * Counts received bytes of a message towards its budget until the message is destroyed. Returns
- * false, and counts nothing, if that would exceed the limit.
- */
-bool http_msg_charge(struct http_msg *m, size_t bytes);
-
 const char *http_msg_target(const struct http_msg *m);
 const char *http_msg_field_name(const struct http_msg *m, uint32_t i);
 const char *http_msg_field_value(const struct http_msg *m, uint32_t i);
--- a/tests/run-scripts.sh
+++ b/tests/run-scripts.sh
@@ -9,6 +9,4 @@
 fi
 BR_BUILD=$1 "$1/test_scripts" --color=never -j 2 || exit 1
 echo "known red, passed over with the programs of $2 (KNOWN-RED.txt): data race in CivetWeb's gmtime()"
-echo "known red, passed over with the programs of $2 (KNOWN-RED.txt): script node-slow-readers"
-export BR_KNOWN_RED=node-slow-readers
 TSAN_OPTIONS="suppressions=$PWD/tests/known-red.tsan" BR_BUILD=$2 "$1/test_scripts" --color=never -j 2
