Don't count a connection as idle while its answer is being sent

Cause: timed_out() looked at received bytes only, as did the connections between nodes.

Idle now means that neither bytes were received nor queued ones accepted by the kernel.

--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -232,7 +232,8 @@
 
 /*
  * Tests whether a connection without pending requests has received nothing for longer than the
- * header timeout (within a message) or the idle timeout.
+ * header timeout (within a message), or has neither received nor sent anything for longer than the
+ * idle timeout.
  */
 static bool timed_out(const struct caller_conn *c, uint64_t now_us)
 {
@@ -246,7 +247,7 @@
 	if (begun_us && now_us - begun_us > header_ms * BR_US_PER_MS &&
 	    now_us - http_conn_received_us(c->conn) > header_ms * BR_US_PER_MS)
 		return true;
-	return now_us - http_conn_received_us(c->conn) > idle_ms * BR_US_PER_MS;
+	return now_us - http_conn_active_us(c->conn) > idle_ms * BR_US_PER_MS;
 }
 
 void caller_server_sweep(struct caller_server *s)
--- a/mesh/caller.h
+++ b/mesh/caller.h
@@ -18,7 +18,8 @@
 
 /**
  * Closes connections without pending requests that have received nothing for longer than the header
- * timeout (within a message) or the idle timeout; call about twice a second.
+ * timeout (within a message), or neither received nor sent anything for longer than the idle
+ * timeout; call about twice a second.
  */
 void caller_server_sweep(struct caller_server *s);
 
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -359,7 +359,7 @@
 
 	for (struct peer_conn *pc = LIST_FIRST(&s->conns); pc; pc = next) {
 		next = LIST_NEXT(pc, link);
-		if (pc->busy || now_us - http_conn_received_us(pc->conn) < SERVER_IDLE_US)
+		if (pc->busy || now_us - http_conn_active_us(pc->conn) < SERVER_IDLE_US)
 			continue;
 		http_conn_close(pc->conn);
 		free_conn(pc);
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -30,7 +30,7 @@
 	struct http_limits limits;
 	void *owner;
 	struct http_msg *msg;
-	uint64_t begun_us, received_us;
+	uint64_t begun_us, received_us, sent_us;
 	size_t unsent;
 	/** HTTP status for an invalid message, set by the parser's callbacks; 0 for none. */
 	uint16_t bad_status;
@@ -578,9 +578,12 @@
 	free(w);
 	if (c->closing)
 		return;
-	if (status)
+	if (status) {
 		report_closed(c, status, 0);
-	else if (c->finishing && !c->unsent)
+		return;
+	}
+	c->sent_us = clock_now_us();
+	if (c->finishing && !c->unsent)
 		http_conn_close(c);
 }
 
@@ -632,6 +635,8 @@
 		sent = uv_try_write((uv_stream_t *)&c->tcp, &chunk, 1);
 	if (sent < 0)
 		sent = 0;
+	else if (sent > 0)
+		c->sent_us = clock_now_us();
 	if ((size_t)sent == bytes->len)
 		buf_free(bytes);
 	else if (bytes->len - (size_t)sent > PIECE_BYTES)
@@ -655,6 +660,11 @@
 	return c->received_us;
 }
 
+uint64_t http_conn_active_us(const struct http_conn *c)
+{
+	return c->sent_us > c->received_us ? c->sent_us : c->received_us;
+}
+
 void http_conn_finish(struct http_conn *c)
 {
 	if (c->closing || c->finishing)
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -74,6 +74,9 @@
 /** Last time at which bytes were received, or the connection was opened. */
 uint64_t http_conn_received_us(const struct http_conn *c);
 
+/** Last time at which bytes were received or the kernel accepted queued bytes. */
+uint64_t http_conn_active_us(const struct http_conn *c);
+
 /** Closes at once; only bytes that the kernel has already accepted are still sent. */
 void http_conn_close(struct http_conn *c);
 
--- a/tests/scripts/raw.c
+++ b/tests/scripts/raw.c
@@ -1,3 +1,4 @@
+#include "briarreel/types.h"
 #include "common/clock.h"
 #include "script.h"
 
@@ -125,69 +126,108 @@
 		text_printf(&ctx->out, "%s -> no HTTP answer\n", argv[1]);
 }
 
-/* Length of the answer with its body; fallback while its head is not complete. */
-static size_t answer_bytes(const char *buf, size_t used, size_t fallback)
+/* Length of the answer at the start of buf with its body; 0 while its head is not complete. */
+static size_t answer_bytes(const char *buf, size_t used)
 {
 	const char *end = memmem(buf, used, "\r\n\r\n", 4);
 	const char *field = end ? memmem(buf, (size_t)(end - buf), "Content-Length: ", 16) : NULL;
 
-	return field ? (size_t)(end - buf) + 4 + strtoul(field + 16, NULL, 10) : fallback;
+	return field ? (size_t)(end - buf) + 4 + strtoul(field + 16, NULL, 10) : 0;
 }
 
+/* Length of the first whole answers, at most n, in buf; *n_whole is their number. */
+static size_t whole_answers_bytes(const char *buf, size_t used, size_t n, size_t *n_whole)
+{
+	size_t at = 0;
+
+	for (*n_whole = 0; *n_whole < n; ++*n_whole) {
+		size_t bytes = answer_bytes(buf + at, used - at);
+
+		if (!bytes || bytes > used - at)
+			break;
+		at += bytes;
+	}
+	return at;
+}
+
+/* How slowly, how much and how long cmd_slow() reads. */
+struct slow_reading {
+	size_t bytes_per_s, answers;
+	uint64_t limit_us;
+};
+
 /*
- * Reads at the given rate into buf until it is full, the peer closes the connection, the answer that
- * its head announces is there, or the time limit passes. Returns the number of bytes read.
+ * Reads into buf until it is full, the peer closes the connection, the answers are whole, or the
+ * time limit passes. Returns the number of bytes read.
  */
-static size_t read_slowly(int fd, char *buf, size_t bytes, size_t bytes_per_s, size_t *announced)
+static size_t read_slowly(int fd, char *buf, size_t bytes, const struct slow_reading *how)
 {
 	uint64_t begun_us = clock_now_us(), now_us;
-	size_t used = 0;
+	size_t used = 0, n_whole = 0;
 
-	*announced = bytes;
-	while (used < *announced) {
+	while (n_whole < how->answers) {
 		size_t due;
 		ssize_t n;
 
 		clock_sleep_ms(SLOW_INTERVAL_MS);
 		now_us = clock_now_us();
-		if (now_us - begun_us > RESPONSE_TIMEOUT_MS * 1000ULL)
+		if (now_us - begun_us > how->limit_us)
 			break;
-		due = (size_t)((now_us - begun_us) * bytes_per_s / 1000000);
-		if (due > *announced)
-			due = *announced;
+		due = (size_t)((now_us - begun_us) * how->bytes_per_s / 1000000);
+		if (due > bytes)
+			due = bytes;
 		if (due <= used)
 			continue;
 		n = recv(fd, buf + used, due - used, 0);
 		if (n <= 0)
 			break;
 		used += (size_t)n;
-		if (*announced == bytes)
-			*announced = answer_bytes(buf, used, bytes);
+		whole_answers_bytes(buf, used, how->answers, &n_whole);
 	}
 	return used;
 }
 
+/* Prints the status of each answer, and of the one that is cut if there are too few. */
+static void print_answers(struct script_ctx *ctx, const char *label, const char *buf, size_t used,
+			  size_t answers)
+{
+	size_t n_whole, at = 0;
+
+	whole_answers_bytes(buf, used, answers, &n_whole);
+	for (size_t i = 0; i < answers && i <= n_whole; i++) {
+		if (used - at < 12 || strncmp(buf + at, "HTTP/1.", 7) != 0) {
+			text_printf(&ctx->out, "%s -> no HTTP answer\n", label);
+			return;
+		}
+		text_printf(&ctx->out, "%s -> %.3s, %s\n", label, buf + at + 9,
+			    i < n_whole ? "whole" : "cut");
+		at += answer_bytes(buf + at, used - at);
+	}
+}
+
 void cmd_slow(struct script_ctx *ctx, int argc, char **argv, const char *heredoc)
 {
+	struct slow_reading how = {.bytes_per_s = strtoul(argv[3], NULL, 10),
+				   .answers = 1,
+				   .limit_us = RESPONSE_TIMEOUT_MS * BR_US_PER_MS};
 	int fd = connect_to(argv[2], SLOW_RECEIVE_BUFFER_BYTES);
 	char *buf = malloc(SLOW_MAX_BYTES + 1);
-	size_t n, announced;
+	size_t n;
 
-	(void)argc;
 	(void)heredoc;
+	if (argc > 5)
+		how.answers = strtoul(argv[5], NULL, 10);
+	if (argc > 6)
+		how.limit_us = strtoul(argv[6], NULL, 10) * BR_US_PER_S;
 	if (fd < 0 || !buf) {
 		text_printf(&ctx->out, "%s -> no connection\n", argv[1]);
 		free(buf);
 		return;
 	}
 	send_unescaped(fd, argv[4]);
-	n = read_slowly(fd, buf, SLOW_MAX_BYTES, strtoul(argv[3], NULL, 10), &announced);
+	n = read_slowly(fd, buf, SLOW_MAX_BYTES, &how);
 	buf[n] = '\0';
 	close(fd);
-	if (n < 12 || strncmp(buf, "HTTP/1.", 7) != 0)
-		text_printf(&ctx->out, "%s -> no HTTP answer\n", argv[1]);
-	else
-		text_printf(&ctx->out, "%s -> %.3s, %s\n", argv[1], buf + 9,
-			    n == announced ? "whole" : "cut");
+	print_answers(ctx, argv[1], buf, n, how.answers);
 	free(buf);
 }
