Keep a connection with long pipelined answers open

Cause: the bound for callers that don't read was applied to answers that had become ready together. Answers behind an earlier one were counted nowhere.

The connection stays open; answers that wait for an earlier one count as unsent. A request on a connection with more than 16 MiB unread is refused as not run. Callers that read nothing are closed by the idle timeout (node-idle).

--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -17,7 +17,7 @@
  * connection is closed after the answer to the last of them.
  */
 #define PIPELINED_REQUESTS_MAX 128
-/* A connection with more unsent bytes is closed: its caller does not read the answers. */
+/* Further requests on a connection with more unsent bytes are refused. */
 #define UNSENT_MAX_BYTES (16UL * 1024 * 1024)
 
 /** A request of a connection and its answer; queued in the order of arrival. */
@@ -36,6 +36,8 @@
 	struct http_conn *conn;
 	struct exchange *head, *tail;
 	uint32_t n_exchanges;
+	/** Bytes of answers that wait for the answer to an earlier request. */
+	size_t held_back_bytes;
 	/** No further requests are accepted. */
 	bool closing;
 	LIST_ENTRY(caller_conn) link;
@@ -47,12 +49,30 @@
 	LIST_HEAD(, caller_conn) callers;
 };
 
+/* Counts the bytes of an answer that waits for an earlier one as unsent. */
+static void hold_back(struct exchange *ex)
+{
+	size_t bytes = ex->answer.len + ex->body.len;
+
+	ex->conn->held_back_bytes += bytes;
+	ex->conn->server->board->messages.unsent_bytes += bytes;
+}
+
+static void release(struct exchange *ex)
+{
+	size_t bytes = ex->answer.len + ex->body.len;
+
+	ex->conn->held_back_bytes -= bytes;
+	ex->conn->server->board->messages.unsent_bytes -= bytes;
+}
+
 static void free_conn(struct caller_conn *c)
 {
 	while (c->head) {
 		struct exchange *ex = c->head;
 
 		c->head = ex->next;
+		release(ex);
 		if (ex->request)
 			request_cancel(ex->request);
 		buf_free(&ex->answer);
@@ -64,8 +84,8 @@
 }
 
 /*
- * Sends the answers at the head of the queue that are ready. Frees the connection if it
- * ends with one of them or has too many unsent bytes.
+ * Sends the answers at the head of the queue that are ready. Frees the connection if it ends with
+ * one of them.
  */
 static void send_ready_answers(struct caller_conn *c)
 {
@@ -77,6 +97,7 @@
 		if (!c->head)
 			c->tail = NULL;
 		c->n_exchanges--;
+		release(ex);
 		http_conn_send(c->conn, &ex->answer);
 		http_conn_send(c->conn, &ex->body);
 		free(ex);
@@ -86,12 +107,6 @@
 		free_conn(c);
 		return;
 	}
-	if (http_conn_unsent(c->conn) > UNSENT_MAX_BYTES) {
-		EVENT(EVENT_WARNING, "caller", "does_not_read",
-		      EVENT_NUMBER("bytes", http_conn_unsent(c->conn)));
-		http_conn_close(c->conn);
-		free_conn(c);
-	}
 }
 
 static void write_answer(struct exchange *ex, struct request_answer *a)
@@ -119,6 +134,7 @@
 		c->closing = true;
 	}
 	write_answer(ex, answer);
+	hold_back(ex);
 	ex->request = NULL;
 	/* on_message() still uses the connection and sends the answer itself. */
 	if (!ex->starting)
@@ -139,6 +155,12 @@
 	return ex;
 }
 
+/* Bytes of answers that the caller has not read. */
+static size_t unread_bytes(const struct caller_conn *c)
+{
+	return http_conn_unsent(c->conn) + c->held_back_bytes;
+}
+
 static void on_message(struct http_conn *conn, struct http_msg *m)
 {
 	struct caller_conn *c = http_conn_owner(conn);
@@ -159,7 +181,11 @@
 		c->closing = true;
 	}
 	ex->starting = true;
-	request_start(c->server->board, m, on_answer, ex, &ex->request);
+	if (unread_bytes(c) > UNSENT_MAX_BYTES)
+		request_refuse(c->server->board, m, on_answer, ex, &ex->request,
+			       "the caller does not read its answers");
+	else
+		request_start(c->server->board, m, on_answer, ex, &ex->request);
 	ex->starting = false;
 	if (ex->answered)
 		send_ready_answers(c);
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -634,8 +634,8 @@
 	take_rate_token(r);
 }
 
-void request_start(struct board *board, struct http_msg *msg, request_done_cb done, void *ctx,
-		   struct request **slot)
+static struct request *create_request(struct board *board, struct http_msg *msg,
+				      request_done_cb done, void *ctx, struct request **slot)
 {
 	struct request *r = xcalloc(1, sizeof(*r));
 	const char *id;
@@ -653,7 +653,19 @@
 	r->id = id ? id : "";
 	n_active++;
 	board_count(board, COUNT_REQUESTS);
-	process(r);
+	return r;
+}
+
+void request_start(struct board *board, struct http_msg *msg, request_done_cb done, void *ctx,
+		   struct request **slot)
+{
+	process(create_request(board, msg, done, ctx, slot));
+}
+
+void request_refuse(struct board *board, struct http_msg *msg, request_done_cb done, void *ctx,
+		    struct request **slot, const char *why)
+{
+	refuse_request(create_request(board, msg, done, ctx, slot), why);
 }
 
 void request_cancel(struct request *r)
--- a/mesh/request.h
+++ b/mesh/request.h
@@ -28,6 +28,10 @@
 void request_start(struct board *board, struct http_msg *msg, request_done_cb done, void *ctx,
 		   struct request **slot);
 
+/** Like request_start(), but refuses the request as not run; why is for the log. */
+void request_refuse(struct board *board, struct http_msg *msg, request_done_cb done, void *ctx,
+		    struct request **slot, const char *why);
+
 /** Cancels and frees a request whose caller has disconnected; done is not called. */
 void request_cancel(struct request *r);
 
--- a/tests/scripts/raw.c
+++ b/tests/scripts/raw.c
@@ -14,6 +14,7 @@
 /* Small, so that what a slow reader has not read yet stays with the sender. */
 #define SLOW_RECEIVE_BUFFER_BYTES 65536
 #define SLOW_INTERVAL_MS 20
+#define SEND_PAUSE_MS 1000
 #define SLOW_MAX_BYTES (32UL << 20)
 
 /* receive_buffer_bytes is 0 for the kernel's choice. */
@@ -65,7 +66,7 @@
 	}
 }
 
-static void send_unescaped(int fd, const char *text)
+static void send_text(int fd, const char *text)
 {
 	struct text data = {0};
 	size_t sent = 0;
@@ -81,6 +82,22 @@
 	free(data.data);
 }
 
+/* Sends a text with escapes; "\p" in it waits before the rest is sent. */
+static void send_unescaped(int fd, const char *text)
+{
+	char *copy = strdup(text), *rest = copy, *pause;
+
+	while (rest && (pause = strstr(rest, "\\p")) != NULL) {
+		*pause = '\0';
+		send_text(fd, rest);
+		clock_sleep_ms(SEND_PAUSE_MS);
+		rest = pause + 2;
+	}
+	if (rest)
+		send_text(fd, rest);
+	free(copy);
+}
+
 /*
  * Reads until buf is full, the peer closes the connection or the time limit passes. Returns the
  * number of bytes read.
