Answer what precedes a message that can't be read

A caller whose body was too long, or found no room, saw a reset connection in place of 413 or 503; answers to its earlier requests on the connection were lost too. A job that found no room at another node ended as lost, and a request that may run once got 502 though it had not run. Cause: such a message ended its connection at once, and the kernel resets a connection that is closed with unread bytes.

The owner is told of the invalid message and answers it behind the earlier ones. A finished connection of a server closes its direction and reads on until the peer closes, 2 s and 16 MiB at most. A body that is announced too long is refused with its head, a job that can't be read as not run.

--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -191,23 +191,39 @@
 		send_ready_answers(c);
 }
 
-static void on_closed(struct http_conn *conn, int err, uint16_t status)
+/* Answers a message that could not be read, behind the answers to earlier requests. */
+static void on_invalid(struct http_conn *conn, uint16_t status)
 {
 	struct caller_conn *c = http_conn_owner(conn);
+	struct request_answer answer = {.status = status};
+	struct exchange *ex;
 
-	(void)err;
-	if (status && !c->head) {
-		struct buf b = {0};
+	EVENT(EVENT_WARNING, "caller", status == 503 ? "no_room" : "malformed",
+	      EVENT_NUMBER("status", status));
+	if (c->closing)
+		return;
+	c->closing = true;
+	ex = add_exchange(c);
+	ex->answered = true;
+	ex->close_after = true;
+	buf_append_text(&answer.fields, "Content-Length: 0\r\n");
+	write_answer(ex, &answer);
+	buf_free(&answer.fields);
+	hold_back(ex);
+	send_ready_answers(c);
+}
 
-		EVENT(EVENT_WARNING, "caller", "malformed", EVENT_NUMBER("status", status));
-		buf_printf(&b, "HTTP/1.1 %u %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-			   status, http_reason(status));
-		http_conn_send(conn, &b);
-	}
-	free_conn(c);
+static void on_closed(struct http_conn *conn, int err)
+{
+	(void)err;
+	free_conn(http_conn_owner(conn));
 }
 
-static const struct http_conn_ops caller_ops = {.message = on_message, .closed = on_closed};
+static const struct http_conn_ops caller_ops = {
+	.message = on_message,
+	.invalid = on_invalid,
+	.closed = on_closed,
+};
 
 static void on_accept(uv_stream_t *listener, int status)
 {
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "mesh/config_watch.h"
+#include "mesh/event_log.h"
 #include "mesh/keeper_link.h"
 #include "mesh/peer_format.h"
 #include "platform/fields.h"
@@ -195,7 +196,7 @@
 	free(pc);
 }
 
-static void write_answer(struct peer_conn *pc, const struct job_end *end)
+static void write_answer(struct peer_conn *pc, const struct job_end *end, bool close_after)
 {
 	struct board *board = pc->server->board;
 	struct peer_end end_field = {.result = end->result,
@@ -214,6 +215,8 @@
 		if (!http_field_is_hop_by_hop(http_msg_field_name(m, i)))
 			buf_printf(&b, "%s: %s\r\n", http_msg_field_name(m, i),
 				   http_msg_field_value(m, i));
+	if (close_after)
+		buf_append_text(&b, "Connection: close\r\n");
 	if (m)
 		http_msg_write_length(&b, m);
 	else
@@ -232,7 +235,7 @@
 
 	pc->busy = false;
 	pc->server->active--;
-	write_answer(pc, end);
+	write_answer(pc, end, false);
 	http_msg_destroy(end->answer);
 	http_msg_destroy(pc->msg);
 	pc->msg = NULL;
@@ -296,14 +299,31 @@
 	target_run(board->target, &pc->job);
 }
 
-static void on_closed(struct http_conn *c, int err, uint16_t status)
+/* A job that could not be read has not run, and the node that sent it may send it elsewhere. */
+static void on_invalid(struct http_conn *c, uint16_t status)
+{
+	struct peer_conn *pc = http_conn_owner(c);
+	const struct job_end end = {.result = JOB_NOT_RUN, .reason = JOB_REASON_QUEUE_REFUSED};
+
+	EVENT(EVENT_WARNING, "peer", status == 503 ? "no_room" : "malformed",
+	      EVENT_NUMBER("status", status));
+	if (!pc->busy)
+		write_answer(pc, &end, true);
+	http_conn_finish(c);
+	free_conn(pc);
+}
+
+static void on_closed(struct http_conn *c, int err)
 {
 	(void)err;
-	(void)status;
 	free_conn(http_conn_owner(c));
 }
 
-static const struct http_conn_ops server_ops = {.message = on_message, .closed = on_closed};
+static const struct http_conn_ops server_ops = {
+	.message = on_message,
+	.invalid = on_invalid,
+	.closed = on_closed,
+};
 
 static void on_accept(uv_stream_t *listener, int status)
 {
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -113,10 +113,9 @@
 	free(sc);
 }
 
-static void on_closed(struct http_conn *c, int err, uint16_t status)
+static void on_closed(struct http_conn *c, int err)
 {
 	(void)err;
-	(void)status;
 	free_conn(http_conn_owner(c));
 }
 
--- a/net/conn_pool.c
+++ b/net/conn_pool.c
@@ -297,13 +297,12 @@
 	discard(pc);
 }
 
-static void on_closed(struct http_conn *c, int err, uint16_t status)
+static void on_closed(struct http_conn *c, int err)
 {
 	struct pool_conn *pc = http_conn_owner(c);
 	struct http_call *call = pc->call;
 	enum http_call_result result;
 
-	(void)status;
 	if (!call) {
 		unlink_idle(pc);
 		discard(pc);
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -1,6 +1,7 @@
 #include "net/http_conn.h"
 
 #include "common/clock.h"
+#include "net/timer.h"
 
 #include <errno.h>
 #include <http_parser.h>
@@ -21,10 +22,17 @@
 #define USER_TIMEOUT_MS 2500
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_PROBES 2
+/* How long, and for how many bytes, a finished connection reads what its peer still sends. */
+#define LINGER_MS 2000
+#define LINGER_MAX_BYTES (16UL << 20)
 
 struct http_conn {
 	uv_tcp_t tcp;
 	uv_connect_t connect;
+	uv_shutdown_t shutdown;
+	/** Set while the connection reads on after its last byte was sent. */
+	struct timer *linger;
+	size_t discarded_bytes;
 	http_parser parser;
 	const struct http_conn_ops *ops;
 	struct http_limits limits;
@@ -35,6 +43,10 @@
 	/** HTTP status for an invalid message, set by the parser's callbacks; 0 for none. */
 	uint16_t bad_status;
 	bool value_open, server, closing, finishing, headers_done, no_body;
+	/** An invalid message was received; what follows is discarded. */
+	bool invalid;
+	/** The peer has closed its direction. */
+	bool ended;
 	/** Length of the body being received, as announced; UINT64_MAX if it is unknown. */
 	uint64_t announced_bytes;
 	/** Clients only: a request has been sent, and no answer was received since. */
@@ -236,6 +248,9 @@
 	}
 	if (p->upgrade || p->http_major != 1)
 		return set_error(c, 400);
+	if (!(p->flags & F_CHUNKED) && p->content_length != UINT64_MAX &&
+	    p->content_length > c->limits.body_bytes)
+		return set_error(c, 413);
 	expect = http_msg_find_field(c->msg, "expect");
 	if (expect && !strcasecmp(expect, "100-continue")) {
 		struct buf b = {0};
@@ -306,23 +321,67 @@
 	c->closing = true;
 	stop_waiting(c);
 	release_kept_room(c);
+	timer_cancel(&c->linger);
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
-static void report_closed(struct http_conn *c, int err, uint16_t status)
+static void on_linger_over(void *arg)
+{
+	struct http_conn *c = arg;
+
+	c->linger = NULL;
+	http_conn_close(c);
+}
+
+/* All bytes of a finishing connection are with the kernel: waits for the peer to close. */
+static void end_sending(struct http_conn *c)
+{
+	if (!c->server || c->ended || uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, NULL)) {
+		http_conn_close(c);
+		return;
+	}
+	c->linger = timer_start(c->tcp.loop, LINGER_MS, on_linger_over, c);
+}
+
+static void report_closed(struct http_conn *c, int err)
 {
 	if (c->closing)
 		return;
+	c->ended = true;
 	if (c->finishing) {
 		/* The owner has released the connection; it is open only to send queued bytes. */
 		if (!c->unsent)
 			http_conn_close(c);
 		return;
 	}
-	c->ops->closed(c, err, status);
+	c->ops->closed(c, err);
 	http_conn_close(c);
 }
 
+/* Discards bytes that follow an invalid message or the last answer. */
+static void discard(struct http_conn *c, size_t bytes)
+{
+	c->discarded_bytes += bytes;
+	if (c->discarded_bytes <= LINGER_MAX_BYTES)
+		return;
+	uv_read_stop((uv_stream_t *)&c->tcp);
+	if (c->linger)
+		http_conn_close(c);
+}
+
+static void report_invalid(struct http_conn *c, uint16_t status)
+{
+	if (!c->server || !c->ops->invalid) {
+		report_closed(c, -EPROTO);
+		return;
+	}
+	c->invalid = true;
+	c->begun_us = 0;
+	http_msg_destroy(c->msg);
+	c->msg = NULL;
+	c->ops->invalid(c, status);
+}
+
 /* Number of bytes that may be read now without more being held than the budget allows. */
 static size_t readable_bytes(const struct http_conn *c)
 {
@@ -387,17 +446,19 @@
 		if (n == UV_EOF && !c->server && c->msg)
 			http_parser_execute(&c->parser, &parser_settings, NULL, 0);
 		uv_read_stop(stream);
-		report_closed(c, n == UV_EOF ? 0 : (int)n, 0);
+		report_closed(c, n == UV_EOF ? 0 : (int)n);
 		return;
 	}
 	c->received_us = clock_now_us();
-	if (c->finishing)
+	if (c->finishing || c->invalid) {
+		discard(c, (size_t)n);
 		return;
+	}
 	used = http_parser_execute(&c->parser, &parser_settings, in->base, (size_t)n);
 	if (c->closing || c->finishing)
 		return;
 	if (c->bad_status || HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || used != (size_t)n)
-		report_closed(c, -EPROTO, c->bad_status ? c->bad_status : 400);
+		report_invalid(c, c->bad_status ? c->bad_status : 400);
 }
 
 /* Tests whether a waiting connection can be read on, and reserves the room for it. */
@@ -424,7 +485,7 @@
 		if (!rc)
 			continue;
 		/* Its owner may close others; they have their turn at the next call. */
-		report_closed(c, rc, 0);
+		report_closed(c, rc);
 		return;
 	}
 }
@@ -511,7 +572,7 @@
 	if (!status)
 		status = uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 	if (status) {
-		report_closed(c, status, 0);
+		report_closed(c, status);
 		return;
 	}
 	c->ops->connected(c);
@@ -579,12 +640,12 @@
 	if (c->closing)
 		return;
 	if (status) {
-		report_closed(c, status, 0);
+		report_closed(c, status);
 		return;
 	}
 	c->sent_us = clock_now_us();
 	if (c->finishing && !c->unsent)
-		http_conn_close(c);
+		end_sending(c);
 }
 
 /* Queues bytes, whose memory it takes over; the first sent of them are with the kernel already. */
@@ -671,7 +732,7 @@
 		return;
 	c->finishing = true;
 	if (!c->unsent)
-		http_conn_close(c);
+		end_sending(c);
 }
 
 int http_listen(uv_loop_t *loop, uv_tcp_t *server, const struct sockaddr_in *addr,
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -36,13 +36,18 @@
 	void (*begin)(struct http_conn *c);
 	/** Clients only: the connection is established. */
 	void (*connected)(struct http_conn *c);
+	/**
+	 * Servers only; may be NULL, then closed is called. The received bytes are not a valid
+	 * message, or there is no room for it; nothing further is read. The callee sends an answer
+	 * with the status and finishes the connection, at once or after earlier answers.
+	 */
+	void (*invalid)(struct http_conn *c, uint16_t status);
 	/**
 	 * The peer closed the connection, the connection failed, or the received bytes are not a
 	 * valid message; the connection is closed after this call. err is 0 if the peer closed the
-	 * connection in order, else a negative error number. status is the HTTP status to answer an
-	 * invalid message with, or 0.
+	 * connection in order, else a negative error number.
 	 */
-	void (*closed)(struct http_conn *c, int err, uint16_t status);
+	void (*closed)(struct http_conn *c, int err);
 };
 
 /** Accepts a connection of a listening socket. Returns NULL if that fails. */
@@ -80,7 +85,11 @@
 /** Closes at once; only bytes that the kernel has already accepted are still sent. */
 void http_conn_close(struct http_conn *c);
 
-/** Closes once all queued bytes are sent; bytes received until then are discarded. */
+/**
+ * Closes once all queued bytes are sent. Bytes that are received until then are discarded, on a
+ * server also those that follow, for a while or until the peer closes: the kernel resets a
+ * connection that is closed with unread bytes, and the peer may lose the last answer by that.
+ */
 void http_conn_finish(struct http_conn *c);
 
 /**
--- a/tests/unit/fake_server.h
+++ b/tests/unit/fake_server.h
@@ -53,12 +53,11 @@
 		s->conns[s->n_conns++] = c;
 }
 
-static void on_peer_closed(struct http_conn *c, int err, uint16_t status)
+static void on_peer_closed(struct http_conn *c, int err)
 {
 	struct server *s = http_conn_owner(c);
 
 	(void)err;
-	(void)status;
 	s->n_open--;
 	for (uint32_t i = 0; i < s->n_conns; i++)
 		if (s->conns[i] == c)
