--- a/standins/mesh/kv.c
+++ b/standins/mesh/kv.c
@@ -371,6 +371,23 @@
 	free(text);
 }
 
+bool kv_get(const char *key, char *out, size_t out_bytes)
+{
+	const struct item *it;
+	size_t len = 0;
+	bool found;
+
+	pthread_mutex_lock(&lock);
+	it = find_item(key);
+	found = it && it->value &&
+		!sodium_base642bin((unsigned char *)out, out_bytes - 1, it->value,
+				   strlen(it->value), NULL, &len, NULL,
+				   sodium_base64_VARIANT_ORIGINAL);
+	pthread_mutex_unlock(&lock);
+	out[len] = '\0';
+	return found;
+}
+
 void kv_set_fault(enum kv_fault f)
 {
 	pthread_mutex_lock(&lock);
--- a/standins/mesh/kv.h
+++ b/standins/mesh/kv.h
@@ -23,6 +23,9 @@
 /** Writes an item without a lease, as an operator would; value is text. */
 void kv_put(const char *key, const char *value);
 
+/** Copies an item's value, truncated to fit, to out; false if there is none. */
+bool kv_get(const char *key, char *out, size_t out_bytes);
+
 /** Sets the fault for later calls; a fault ends waiting watches without a response. */
 void kv_set_fault(enum kv_fault fault);
 
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -17,13 +17,15 @@
 /* Time that an answer may take in addition to the route's timeout. */
 #define ANSWER_SLACK_US (1000 * BR_US_PER_MS)
 #define RECV_TIMEOUT_MS 50
+#define HOT_CALLERS 4
+#define HOT_GAP_US (10 * BR_US_PER_MS)
 /* Share of the requests that reuse an open connection. */
 #define REUSE_PERCENT 70
 
-static pthread_t threads[CALLERS_MAX];
+static pthread_t threads[CALLERS_MAX + HOT_CALLERS];
 static uint32_t n_threads;
 
-static int connect_to(uint32_t node)
+int caller_connect(uint32_t node, int receive_bytes)
 {
 	struct timeval timeout = {.tv_usec = RECV_TIMEOUT_MS * 1000};
 	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(18108)};
@@ -32,6 +34,8 @@
 	sa.sin_addr.s_addr = htonl(0x7f000000 | soak.net << 8 | (10 + node));
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (receive_bytes)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa))) {
 		close(fd);
 		return -1;
@@ -39,7 +43,7 @@
 	return fd;
 }
 
-static bool find_header(const char *head, const char *name, char *out, size_t out_bytes)
+bool caller_find_header(const char *head, const char *name, char *out, size_t out_bytes)
 {
 	size_t len = strlen(name);
 
@@ -76,9 +80,9 @@
 	a->body += 4;
 	if (sscanf(a->bytes, "HTTP/1.1 %d", &a->status) != 1)
 		a->status = -1;
-	if (find_header(a->bytes, "Content-Length", text, sizeof(text)))
+	if (caller_find_header(a->bytes, "Content-Length", text, sizeof(text)))
 		length = strtoul(text, NULL, 10);
-	a->connection_close = find_header(a->bytes, "Connection", text, sizeof(text)) &&
+	a->connection_close = caller_find_header(a->bytes, "Connection", text, sizeof(text)) &&
 			      !strcasecmp(text, "close");
 	a->complete = (size_t)(a->bytes + a->len - a->body) >= length;
 	if (a->complete)
@@ -107,15 +111,25 @@
 {
 	char text[ID_BYTES] = "", body[2048];
 
-	if (!find_header(a->bytes, "X-Server-Seal", text, sizeof(text)))
+	if (!caller_find_header(a->bytes, "X-Server-Seal", text, sizeof(text)))
 		report_violation("%s got a success without a seal", id);
-	if (!find_header(a->bytes, "X-Attempt-Id", text, sizeof(text)) || strcmp(text, id) != 0)
+	if (!caller_find_header(a->bytes, "X-Attempt-Id", text, sizeof(text)) ||
+	    strcmp(text, id) != 0)
 		report_violation("%s got the answer to '%s'", id, text);
 	record_body(r, body, sizeof(body));
 	if (strcmp(a->body, body) != 0)
 		report_violation("%s got a body that its target did not send", id);
 }
 
+void caller_check_closed(uint32_t r, const char *id, uint32_t entry, uint32_t interruptions)
+{
+	/* Leaves process_check() time to notice an exit that closed the connection. */
+	sleep_us(SLACK_US);
+	if (interruptions == process_interruptions(entry) && record_has_run(r))
+		report_violation("%s ran, but node %u closed its connection without an answer", id,
+				 entry);
+}
+
 /*
  * Reports a missing answer unless a fault of the entry node explains it. If the connection closed,
  * the answer is missed only if the request ran.
@@ -124,12 +138,7 @@
 				 uint64_t sent_us, uint32_t interruptions)
 {
 	if (a->closed) {
-		/* Leaves process_check() time to notice an exit that closed the connection. */
-		sleep_us(SLACK_US);
-		if (interruptions == process_interruptions(entry) && record_has_run(r))
-			report_violation(
-				"%s ran, but node %u closed its connection without an answer", id,
-				entry);
+		caller_check_closed(r, id, entry, interruptions);
 	} else if (stability_node(entry, sent_us) &&
 		   interruptions == process_interruptions(entry)) {
 		report_violation("%s got no answer from node %u after %llu ms", id, entry,
@@ -137,7 +146,7 @@
 	}
 }
 
-static size_t write_request(char *out, size_t out_bytes, enum kind kind, const char *id,
+size_t caller_write_request(char *out, size_t out_bytes, enum kind kind, const char *id,
 			    uint64_t wait_us)
 {
 	bool post = !config_idempotent(kind);
@@ -163,14 +172,14 @@
 	int status = 0;
 
 	if (*fd < 0)
-		*fd = connect_to(entry);
+		*fd = caller_connect(entry, 0);
 	if (*fd < 0 || !a) {
 		free(a);
 		return 0;
 	}
 	r = record_begin(kind, entry, parent, wait_us, id);
 	sent_us = now_us();
-	len = write_request(text, sizeof(text), kind, id, wait_us);
+	len = caller_write_request(text, sizeof(text), kind, id, wait_us);
 	if (send(*fd, text, len, MSG_NOSIGNAL) == (ssize_t)len)
 		receive(*fd, a, sent_us + limit_us + ANSWER_SLACK_US);
 	else
@@ -207,6 +216,26 @@
 		report_violation("node %u sent a success on an idle connection", entry);
 }
 
+/* Sends requests of the limited account far beyond its rate, to all nodes in turn. */
+static void *run_hot(void *arg)
+{
+	int fds[NODES_MAX];
+
+	(void)arg;
+	for (int i = 0; i < NODES_MAX; i++)
+		fds[i] = -1;
+	for (uint32_t n = 0; !soak.stopping; n++) {
+		uint32_t entry = n % soak.n_nodes;
+
+		caller_send(&fds[entry], KIND_LIMITED, entry, NONE, WAIT_US);
+		sleep_us(HOT_GAP_US);
+	}
+	for (int i = 0; i < NODES_MAX; i++)
+		if (fds[i] >= 0)
+			close(fds[i]);
+	return NULL;
+}
+
 static void *run(void *arg)
 {
 	uint32_t thread_no = (uint32_t)(uintptr_t)arg;
@@ -235,11 +264,19 @@
 	return NULL;
 }
 
+static void start_thread(void *(*fn)(void *))
+{
+	if (pthread_create(&threads[n_threads], NULL, fn, (void *)(uintptr_t)n_threads))
+		abort();
+	n_threads++;
+}
+
 void caller_start_all(uint32_t n)
 {
-	for (n_threads = 0; n_threads < n && n_threads < CALLERS_MAX; n_threads++)
-		if (pthread_create(&threads[n_threads], NULL, run, (void *)(uintptr_t)n_threads))
-			abort();
+	for (uint32_t i = 0; i < n && i < CALLERS_MAX; i++)
+		start_thread(run);
+	for (uint32_t i = 0; i < HOT_CALLERS; i++)
+		start_thread(run_hot);
 }
 
 void caller_join_all(void)
--- a/tests/soak/config.c
+++ b/tests/soak/config.c
@@ -18,6 +18,7 @@
 	[KIND_MOVING] = {"moving", "", "", true},
 	[KIND_CHAIN] = {"chain", "", "", true},
 	[KIND_CALL] = {"call", "", "", true},
+	[KIND_LONG] = {"long", "", "", false},
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -27,6 +27,8 @@
 	FAULT_ROUTE,
 	/** A target leaves around its node's restart. */
 	FAULT_LEAVE,
+	/** The keeper is frozen again and again. */
+	FAULT_FREEZE,
 	FAULT_KINDS,
 };
 
@@ -54,16 +56,22 @@
 						    "replace",
 						    "key",
 						    "route",
-						    "leave"};
+						    "leave",
+						    "freeze keeper"};
 #define RELAY_DELAY 4
 #define RELAY_BLACKHOLE 5
 #define RELAY_VARIANTS 6
 /* Mean time between faults that seeds did not have from the start. */
 #define LATER_FAULT_GAP_MS 5000
 
+/* A series of freezes lasts longer than the window of a rate. */
+#define FREEZE_MIN_US (3 * BR_US_PER_S)
+#define FREEZE_SPREAD_US 4000000
+#define FREEZE_GAP_MS 8000
+
 static bool disturbs_process(const struct fault *f)
 {
-	return (f->kind >= FAULT_KILL && f->kind <= FAULT_HUP) || f->kind == FAULT_LEAVE;
+	return (f->kind >= FAULT_KILL && f->kind <= FAULT_HUP) || f->kind >= FAULT_LEAVE;
 }
 
 static bool disturbs_target(const struct fault *f)
@@ -99,6 +107,8 @@
 		process_start_node(f->node);
 	} else if (f->kind == FAULT_LEAVE) {
 		target_leave_around_restart(f->node);
+	} else if (f->kind == FAULT_FREEZE) {
+		process_freeze_keeper(f->until_us - now_us());
 	} else {
 		target_replace(f->node, f->variant % 2);
 	}
@@ -153,6 +163,7 @@
 	case FAULT_STOP:
 	case FAULT_REPLACE:
 	case FAULT_LEAVE:
+	case FAULT_FREEZE:
 		start_thread(f);
 		break;
 	case FAULT_HUP:
@@ -211,7 +222,7 @@
 
 static struct fault pick_fault(struct br_rng *rng)
 {
-	static const uint32_t weights[FAULT_KINDS] = {2, 2, 1, 8, 2, 2, 2, 1, 4, 3, 2, 2, 0};
+	static const uint32_t weights[FAULT_KINDS] = {2, 2, 1, 8, 2, 2, 2, 1, 4, 3, 2, 2, 0, 0};
 	struct fault f = {0};
 	uint32_t sum = 0, at;
 
@@ -242,6 +253,13 @@
 	return f;
 }
 
+static struct fault pick_freeze(struct br_rng *rng)
+{
+	return (struct fault){.kind = FAULT_FREEZE,
+			      .node = NONE,
+			      .until_us = FREEZE_MIN_US + random_below(rng, FREEZE_SPREAD_US)};
+}
+
 static bool can_start(const struct fault *f, struct fault *const *active)
 {
 	for (int i = 0; i < ACTIVE_MAX; i++)
@@ -308,15 +326,19 @@
 {
 	struct fault *active[ACTIVE_MAX] = {0};
 	uint64_t start_us = now_us(), next_us = start_us, next_later_us = start_us;
+	uint64_t next_freeze_us = start_us;
 	bool pending = true;
-	struct br_rng rng, later_rng;
+	struct br_rng rng, later_rng, freeze_rng;
 
 	br_rng_seed(&rng, soak.seed);
 	br_rng_seed(&later_rng, ~soak.seed);
+	br_rng_seed(&freeze_rng, soak.seed * 31);
 	while (now_us() < start_us + for_us) {
 		start_due(pick_fault, &rng, &next_us, FAULT_GAP_MAX_MS, active, start_us);
 		start_due(pick_later_fault, &later_rng, &next_later_us, 2 * LATER_FAULT_GAP_MS,
 			  active, start_us);
+		start_due(pick_freeze, &freeze_rng, &next_freeze_us, 2 * FREEZE_GAP_MS, active,
+			  start_us);
 		end_faults(active, false);
 		process_check();
 		sleep_us(CHECK_INTERVAL_US);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -19,6 +19,7 @@
 #define AFTER_RECOVERY_US (3 * BR_US_PER_S)
 /* Ratio of successes from which the system counts as recovered. */
 #define RECOVERED_RATIO 0.95
+#define CALLERS_PER_READER 4
 /* Interval over which the ratio of successes is measured. */
 #define SUCCESS_INTERVAL_US (1 * BR_US_PER_S)
 /* Violations that are printed; further ones are only counted. */
@@ -99,6 +100,7 @@
 	process_start_all();
 	target_start_all();
 	caller_start_all(callers);
+	reader_start_all(callers / CALLERS_PER_READER);
 	if (!wait_recovered(RECOVERY_US)) {
 		report_violation("too few requests succeed within 15 s of the start");
 		return 1;
@@ -111,6 +113,7 @@
 	sleep_us(AFTER_RECOVERY_US);
 	soak.stopping = true;
 	caller_join_all();
+	reader_join_all();
 	process_check();
 	record_check_all();
 	record_print();
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -16,6 +16,9 @@
 
 #define PATH_BYTES 512
 #define NODE_KEYS "mesh/node/"
+#define KEEPER_KEY "mesh/keeper"
+#define FREEZE_US (300 * BR_US_PER_MS)
+#define FREEZE_PERIOD_US (500 * BR_US_PER_MS)
 #define START_WAIT_US (5 * BR_US_PER_S)
 
 extern char **environ;
@@ -226,6 +229,33 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Node of the latest keeper that the store knows. */
+static uint32_t find_keeper(void)
+{
+	char value[128] = "";
+	uint32_t node;
+
+	if (!kv_get(KEEPER_KEY, value, sizeof(value)) || sscanf(value, "node-%u", &node) != 1 ||
+	    node >= soak.n_nodes)
+		return NONE;
+	return node;
+}
+
+void process_freeze_keeper(uint64_t for_us)
+{
+	for (uint64_t until_us = now_us() + for_us; now_us() < until_us;) {
+		uint32_t node = find_keeper();
+
+		if (node != NONE) {
+			stability_record_disturbance(node, now_us() + FREEZE_US);
+			process_signal_node(node, SIGSTOP);
+			sleep_us(FREEZE_US);
+			process_signal_node(node, SIGCONT);
+		}
+		sleep_us(FREEZE_PERIOD_US - FREEZE_US);
+	}
+}
+
 void process_stop_node(uint32_t node)
 {
 	uint64_t until_us = now_us() + GRACE_US + SLACK_US;
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -79,6 +79,12 @@
 	out[n] = '\0';
 }
 
+char record_long_byte(uint32_t r, uint32_t at)
+{
+	/* Not a divisor of the sizes of buffers, so that a lost piece shows. */
+	return (char)('a' + (r + at) % 23);
+}
+
 static void check_run(const struct record *r, uint32_t i, const struct arrival *a, uint64_t at_us)
 {
 	uint64_t since_us, withdrawn_us = config_withdrawn_us();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -38,6 +38,8 @@
 #define QUOTA_SLACK 20
 #define LIMITED_RATE 20
 #define LIMITED_BURST 10
+/* More than the kernel's buffers hold. */
+#define LONG_BYTES (6U << 20)
 
 /** Kinds of request. Each kind has a route of its own, with the kind's name as path prefix. */
 enum kind {
@@ -56,6 +58,8 @@
 	KIND_CHAIN,
 	/** Sent by a target that handles a KIND_CHAIN request. */
 	KIND_CALL,
+	/** Its answer has LONG_BYTES and is read slowly. */
+	KIND_LONG,
 	KINDS,
 };
 
@@ -122,6 +126,9 @@
 /** Writes the body with which a target answers request r. */
 void record_body(uint32_t r, char *out, size_t out_bytes);
 
+/** Byte of the body of request r of KIND_LONG. */
+char record_long_byte(uint32_t r, uint32_t at);
+
 enum kind record_kind(uint32_t r);
 
 /** Records and checks an arrival at a target. The target runs the request, or sheds it if !runs. */
@@ -172,6 +179,8 @@
 void process_signal_node(uint32_t node, int signum);
 /** Sends SIGTERM and checks that the node exits with status 0 within its grace time. */
 void process_stop_node(uint32_t node);
+/** Stops and continues the keeper's process again and again for a time. */
+void process_freeze_keeper(uint64_t for_us);
 /** Number of kills, pauses and unexpected exits of a node, which excuse missing answers. */
 uint32_t process_interruptions(uint32_t node);
 /** Checks that no node exited without having been told to. */
@@ -224,12 +233,29 @@
 
 void caller_start_all(uint32_t n);
 void caller_join_all(void);
+/** Opens a connection to a node's port for callers; receive_bytes is the size of its buffer or 0. */
+int caller_connect(uint32_t node, int receive_bytes);
+/** Writes a request to out and returns its length. */
+size_t caller_write_request(char *out, size_t out_bytes, enum kind kind, const char *id,
+			    uint64_t wait_us);
+/** Copies the value of a header field; false if there is none. */
+bool caller_find_header(const char *head, const char *name, char *out, size_t out_bytes);
+/**
+ * Reports that the connection ended before the whole answer to a request that ran, unless the entry
+ * node was interrupted.
+ */
+void caller_check_closed(uint32_t r, const char *id, uint32_t entry, uint32_t interruptions);
 /**
  * Sends one request to an entry node and checks the answer. Opens a connection if *fd is negative,
  * and sets *fd to -1 if the connection was closed. Returns the status, or 0 without an answer.
  */
 int caller_send(int *fd, enum kind kind, uint32_t entry, uint32_t parent, uint64_t wait_us);
 
+/* reader.c: callers that read long answers slowly. */
+
+void reader_start_all(uint32_t n);
+void reader_join_all(void);
+
 /* fault.c: random faults. */
 
 /** Injects faults for a time, then ends all of them. */
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -98,6 +98,23 @@
 	       (http_send(fd, head, (size_t)n) && http_send(fd, body, len));
 }
 
+static bool send_long_answer(int fd, const char *id, const char *seal, uint32_t r)
+{
+	char bytes[65536];
+	int n = snprintf(bytes, sizeof(bytes),
+			 "HTTP/1.1 200 Status\r\nContent-Length: %u\r\nX-Attempt-Id: %s\r\n"
+			 "X-Server-Seal: %s\r\n\r\n",
+			 LONG_BYTES, id, seal);
+	bool ok = http_send(fd, bytes, (size_t)n);
+
+	for (uint32_t at = 0; ok && at < LONG_BYTES; at += sizeof(bytes)) {
+		for (uint32_t i = 0; i < sizeof(bytes); i++)
+			bytes[i] = record_long_byte(r, at + i);
+		ok = http_send(fd, bytes, sizeof(bytes));
+	}
+	return ok;
+}
+
 static bool make_call(uint32_t node, uint32_t r, uint64_t remaining_ms)
 {
 	int fd = -1, status;
@@ -190,6 +207,8 @@
 	if (fault == TARGET_FAILS ||
 	    (record_kind(r) == KIND_CHAIN && !make_call(node, r, a.remaining_ms)))
 		return send_answer(fd, id, seal, 500, "failed", TARGET_HEALTHY);
+	if (record_kind(r) == KIND_LONG)
+		return send_long_answer(fd, id, seal, r);
 	record_body(r, body, sizeof(body));
 	return send_answer(fd, id, seal, 200, body, fault);
 }
