Don't cut a limit because its first baseline was too low

The limit of 6 was cut at 0.44 s, which ends the fast growth, and took until 9 s to reach 40 slots.

The error of a baseline that no probe has measured yet now counts as sampling error.

--- a/lib/limiter.c
+++ b/lib/limiter.c
@@ -102,6 +102,8 @@
 	bool known;
 	/** Mean logarithm of the service times without congestion. */
 	double baseline;
+	/** Square of the first baseline's standard error; 0 once a probe has measured it. */
+	double error_squared;
 };
 
 struct br_limiter {
@@ -138,6 +140,8 @@
 	uint32_t probe_samples;
 	/** Excess of the current window's samples over the baselines of their classes. */
 	struct moments excess;
+	/** Sum of the squared errors of these baselines. */
+	double errors_squared;
 	struct request_class classes[CLASSES];
 };
 
@@ -172,12 +176,14 @@
 	return x > 0 ? r : 0;
 }
 
-/* Returns the standard error of the mean. */
-static double standard_error(const struct moments *m, double mean)
+/* Returns the square of the standard error of the mean. */
+static double error_squared(const struct moments *m, double mean)
 {
 	double variance = m->squares / m->n - mean * mean;
 
-	return m->n > 1 ? square_root(variance / (m->n - 1)) : 1;
+	if (m->n < 2)
+		return 1;
+	return variance > 0 ? variance / (m->n - 1) : 0;
 }
 
 struct br_limiter *br_limiter_create(uint32_t start, uint32_t min, uint32_t max)
@@ -263,6 +269,7 @@
 	if (c->known || w->n < CLASS_SAMPLES)
 		return;
 	c->baseline = w->sum / w->n;
+	c->error_squared = error_squared(w, c->baseline);
 	c->known = true;
 }
 
@@ -277,6 +284,7 @@
 static void window_reset(struct br_limiter *l, uint64_t now_us)
 {
 	l->excess = (struct moments){0};
+	l->errors_squared = 0;
 	l->sheds = 0;
 	l->peak_in_flight = 0;
 	l->window_start_us = now_us;
@@ -372,8 +380,10 @@
 {
 	struct moments *m = &l->excess;
 	double excess = m->n ? m->sum / m->n : 0;
-	double error = m->n ? standard_error(m, excess) : 0;
-	double lower_bound = excess - 2 * error;
+	double error = m->n ? square_root(error_squared(m, excess)) : 0;
+	double baseline_error = m->n ? square_root(l->errors_squared / m->n) : 0;
+	/* The first baseline, of few samples, may be too low by more than any threshold. */
+	double lower_bound = excess - 2 * (error + baseline_error);
 
 	if (l->sheds) {
 		decrease_limit(l,
@@ -442,6 +452,7 @@
 			weighted_shift += (mean - c->baseline) * weight * c->samples.n;
 			n += c->samples.n;
 			c->baseline += (mean - c->baseline) * weight;
+			c->error_squared = 0;
 		}
 		c->samples = (struct moments){0};
 	}
@@ -493,6 +504,12 @@
 	return true;
 }
 
+static void add_excess(struct br_limiter *l, const struct request_class *c, double log_us)
+{
+	moments_add(&l->excess, log_us - c->baseline);
+	l->errors_squared += c->error_squared;
+}
+
 void br_limiter_sample(struct br_limiter *l, uint32_t class, uint64_t service_us, bool shed,
 		       uint64_t now_us)
 {
@@ -519,7 +536,7 @@
 	if (shed)
 		l->sheds++;
 	else if (c->known)
-		moments_add(&l->excess, log_us - c->baseline);
+		add_excess(l, c, log_us);
 	if (!window_complete(l, now_us))
 		return;
 	window_close(l, now_us);
--- a/tests/random/overload.c
+++ b/tests/random/overload.c
@@ -647,3 +647,15 @@
 	for (; seed <= 6 || time(NULL) < end; seed++)
 		run_seed(seed);
 }
+
+/*
+ * Guards against a limit that is cut because the first baseline, of few samples, was too low: the
+ * goodput fell to half of the capacity, and accounts within their shares were refused.
+ */
+Test(overload, first_baselines_are_inaccurate)
+{
+	static const uint64_t seeds[] = {113, 301, 327, 541, 965, 1037, 1039, 84137};
+
+	for (size_t i = 0; i < sizeof(seeds) / sizeof(seeds[0]); i++)
+		run_seed(seeds[i]);
+}
