Fuzz HTTP requests and answers over real connections

They now arrive at a real connection in two parts, which ends in order or by a reset; each call must end, each connection close, and nothing may stay counted towards the budget. Both run in test_decoders and as targets of make fuzz.

--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -15,6 +15,7 @@
 #include "mesh/peer_format.h"
 #include "node/wire.h"
 #include "platform/decode.h"
+#include "tests/fuzz/http_targets.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -238,17 +239,43 @@
 	INPUT("{\"schema\":1,\"share_slots\":8,\"autonomy_s\":60}"),
 };
 
+static const struct fuzz_input http_request_seeds[] = {
+	INPUT("GET /a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
+	      "Content-Length: 3\r\n\r\nabcGET /c HTTP/1.1\r\nHost: h\r\nConnection: "
+	      "close\r\n\r\n"),
+	INPUT("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue"
+	      "\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+	INPUT("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\nabc"),
+};
+
+static const struct fuzz_input http_answer_seeds[] = {
+	INPUT("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+	      "Keep-Alive: timeout=5\r\n\r\nhello"),
+	INPUT("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+	INPUT("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello"),
+	INPUT("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"
+	      "Content-Length: 0\r\n\r\n"),
+	INPUT("HTTP/1.1 304 Not Modified\r\nContent-Length: 400000\r\n\r\n"),
+};
+
 #define TARGET(name, seeds)                                                \
 	{                                                                  \
 #name, run_##name, seeds, sizeof(seeds) / sizeof(*(seeds)) \
 	}
 
 static const struct fuzz_target fuzz_targets[] = {
-	TARGET(keeper_message, keeper_seeds), TARGET(wire, wire_seeds),
-	TARGET(config, config_seeds),	      TARGET(settings, settings_seeds),
-	TARGET(report, report_seeds),	      TARGET(entry, entry_seeds),
-	TARGET(peer_job, job_seeds),	      TARGET(peer_end, end_seeds),
-	TARGET(fetch, fetch_seeds),	      TARGET(record, record_seeds),
+	TARGET(keeper_message, keeper_seeds),
+	TARGET(wire, wire_seeds),
+	TARGET(config, config_seeds),
+	TARGET(settings, settings_seeds),
+	TARGET(report, report_seeds),
+	TARGET(entry, entry_seeds),
+	TARGET(peer_job, job_seeds),
+	TARGET(peer_end, end_seeds),
+	TARGET(fetch, fetch_seeds),
+	TARGET(record, record_seeds),
+	TARGET(http_request, http_request_seeds),
+	TARGET(http_answer, http_answer_seeds),
 };
 
 #define FUZZ_TARGETS (sizeof(fuzz_targets) / sizeof(fuzz_targets[0]))
