Split receiving of HTTP messages from connections

The parser's callbacks, the limits and the decision how much may be read are a module of their own now (net/http_receive.c), without the socket.

--- a/net/http_budget.h
+++ b/net/http_budget.h
@@ -17,6 +17,7 @@
 #include <uv.h>
 
 struct http_conn;
+struct http_receiver;
 
 /** Part of the limit that requests may take; further ones are refused. */
 #define HTTP_BUDGET_REQUESTS_DIVISOR 3
@@ -39,8 +40,8 @@
 	size_t pause_bytes;
 	/** Client connections that are not read until there is room, in the order of their turn. */
 	TAILQ_HEAD(, http_conn) waiting;
-	/** The connection that uses the kept room, or NULL. */
-	struct http_conn *kept_for;
+	/** The receiver that uses the kept room, or NULL. */
+	const struct http_receiver *kept_for;
 	/** Looks for room before each poll while connections wait; NULL until the first one did. */
 	uv_prepare_t *before_poll;
 };
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -4,14 +4,11 @@
 #include "net/timer.h"
 
 #include <errno.h>
-#include <http_parser.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #define LISTEN_BACKLOG 1024
-#define READ_BYTES 65536
 /* Longer bytes are queued in pieces, whose memory is free as soon as the peer has read them. */
 #define PIECE_BYTES (256UL * 1024)
 /*
@@ -33,24 +30,16 @@
 	/** Set while the connection reads on after its last byte was sent. */
 	struct timer *linger;
 	size_t discarded_bytes;
-	http_parser parser;
+	struct http_receiver receiver;
 	const struct http_conn_ops *ops;
-	struct http_limits limits;
 	void *owner;
-	struct http_msg *msg;
-	uint64_t begun_us, received_us, sent_us;
+	uint64_t received_us, sent_us;
 	size_t unsent;
-	/** HTTP status for an invalid message, set by the parser's callbacks; 0 for none. */
-	uint16_t bad_status;
-	bool value_open, server, closing, finishing, headers_done, no_body;
+	bool server, closing, finishing;
 	/** An invalid message was received; what follows is discarded. */
 	bool invalid;
 	/** The peer has closed its direction. */
 	bool ended;
-	/** Length of the body being received, as announced; UINT64_MAX if it is unknown. */
-	uint64_t announced_bytes;
-	/** Clients only: a request has been sent, and no answer was received since. */
-	bool awaits_answer;
 	/** In the budget's list of connections that wait for room. */
 	bool waiting;
 	TAILQ_ENTRY(http_conn) waiting_link;
@@ -63,254 +52,20 @@
 	size_t remaining;
 };
 
-static char read_buffer[READ_BYTES];
-
-static int on_begin(http_parser *p)
-{
-	struct http_conn *c = p->data;
-
-	http_msg_destroy(c->msg);
-	c->msg = http_msg_create();
-	c->msg->charge = (struct http_charge){.budget = c->limits.budget, .is_request = c->server};
-	c->value_open = false;
-	c->headers_done = false;
-	c->announced_bytes = UINT64_MAX;
-	c->begun_us = clock_now_us();
-	if (c->ops->begin)
-		c->ops->begin(c);
-	return c->closing ? -1 : 0;
-}
-
-static int set_error(struct http_conn *c, uint16_t status)
-{
-	c->bad_status = status;
-	return -1;
-}
-
-/* Counts received bytes. Those of answers are read only as far as there is room for them. */
-static int charge(struct http_conn *c, size_t bytes)
-{
-	if (c->server && c->limits.budget && !http_budget_takes_request(c->limits.budget, bytes))
-		return set_error(c, 503);
-	http_charge_add(&c->msg->charge, bytes);
-	return 0;
-}
-
-static int append_text(struct http_conn *c, const char *at, size_t len)
-{
-	struct buf *text = &c->msg->text;
-
-	if (text->len + len + 1 > c->limits.header_bytes)
-		return set_error(c, 431);
-	if (charge(c, len))
-		return -1;
-	buf_append(text, at, len);
-	return 0;
-}
-
-static int on_url(http_parser *p, const char *at, size_t len)
-{
-	return append_text(p->data, at, len);
-}
-
-static int on_field(http_parser *p, const char *at, size_t len)
-{
-	struct http_conn *c = p->data;
-	struct http_msg *m = c->msg;
-
-	if (c->headers_done)
-		return 0;
-	if (memchr(at, ' ', len))
-		return set_error(c, 400);
-	if (c->value_open || m->n_fields == 0) {
-		/* Terminates the previous value, or the request target. */
-		buf_append(&m->text, "", 1);
-		if (m->n_fields == m->cap_fields) {
-			m->cap_fields = m->cap_fields ? 2 * m->cap_fields : 8;
-			m->fields = realloc(m->fields, m->cap_fields * sizeof(*m->fields));
-			if (!m->fields)
-				abort();
-		}
-		m->fields[m->n_fields++] = (struct http_field){.name = (uint32_t)m->text.len};
-		c->value_open = false;
-	}
-	return append_text(c, at, len);
-}
-
-static int on_value(http_parser *p, const char *at, size_t len)
-{
-	struct http_conn *c = p->data;
-	struct http_msg *m = c->msg;
-
-	if (c->headers_done)
-		return 0;
-	if (!c->value_open) {
-		buf_append(&m->text, "", 1);
-		m->fields[m->n_fields - 1].value = (uint32_t)m->text.len;
-		c->value_open = true;
-	}
-	return append_text(c, at, len);
-}
-
-/* Bytes of the message being received that may still arrive; one more shows that it is too long. */
-static uint64_t missing_bytes(const struct http_conn *c)
-{
-	uint64_t body_bytes = c->limits.body_bytes;
-
-	if (!c->headers_done)
-		return c->limits.header_bytes - c->msg->text.len;
-	if (c->announced_bytes <= body_bytes)
-		return c->announced_bytes - c->msg->body.len;
-	return body_bytes + 1 - c->msg->body.len;
-}
-
-/* Two nodes whose memory is full of answers for each other would both wait for the other one. */
-static bool waits_for_nodes(const struct http_conn *c)
-{
-	size_t max_bytes = c->limits.unsent_to_nodes_max_bytes;
-
-	return max_bytes && c->limits.budget->unsent_to_nodes_bytes > max_bytes;
-}
-
-static bool length_is_known(const struct http_conn *c)
-{
-	return c->headers_done && c->announced_bytes != UINT64_MAX;
-}
-
-static void hold_room(struct http_conn *c, uint64_t bytes)
-{
-	http_charge_reserve(&c->msg->charge, bytes);
-	if (length_is_known(c))
-		buf_reserve(&c->msg->body, bytes);
-}
-
-static bool can_reserve(const struct http_conn *c, uint64_t bytes)
-{
-	const struct http_budget *b = c->limits.budget;
-
-	return !b || (!waits_for_nodes(c) && http_budget_can_reserve(b, bytes));
-}
-
-/* Reserves room for the rest of an answer, the kept room if nothing else is left. */
-static bool reserve_rest(struct http_conn *c)
-{
-	struct http_budget *b = c->limits.budget;
-	uint64_t bytes = missing_bytes(c);
-
-	if (!can_reserve(c, bytes)) {
-		if ((b->kept_for && b->kept_for != c) || waits_for_nodes(c) ||
-		    !http_budget_can_keep(b, bytes))
-			return false;
-		b->kept_for = c;
-	}
-	hold_room(c, bytes);
-	return true;
-}
-
-static void release_kept_room(struct http_conn *c)
-{
-	if (c->limits.budget && c->limits.budget->kept_for == c)
-		c->limits.budget->kept_for = NULL;
-}
-
-static bool has_no_body(uint16_t status)
-{
-	return status < 200 || status == 204 || status == 304;
-}
-
-/* Reserves room for an announced body. Without it the body waits at the server. */
-static int announce_body(struct http_conn *c, const http_parser *p)
-{
-	if (has_no_body(c->msg->status) || (p->flags & F_CHUNKED) ||
-	    p->content_length == UINT64_MAX)
-		return 0;
-	if (p->content_length > c->limits.body_bytes)
-		return set_error(c, 413);
-	c->announced_bytes = p->content_length;
-	if (c->announced_bytes && can_reserve(c, c->announced_bytes))
-		hold_room(c, c->announced_bytes);
-	return 0;
-}
-
-static int on_headers(http_parser *p)
-{
-	struct http_conn *c = p->data;
-	const char *expect;
-
-	buf_append(&c->msg->text, "", 1);
-	c->headers_done = true;
-	c->msg->method = (uint8_t)p->method;
-	c->msg->status = (uint16_t)p->status_code;
-	if (!c->server) {
-		/* A nonzero result makes the parser skip the body. */
-		c->msg->no_body = c->no_body && p->status_code >= 200;
-		return c->msg->no_body ? 1 : announce_body(c, p);
-	}
-	if (p->upgrade || p->http_major != 1)
-		return set_error(c, 400);
-	if (!(p->flags & F_CHUNKED) && p->content_length != UINT64_MAX &&
-	    p->content_length > c->limits.body_bytes)
-		return set_error(c, 413);
-	expect = http_msg_find_field(c->msg, "expect");
-	if (expect && !strcasecmp(expect, "100-continue")) {
-		struct buf b = {0};
-
-		buf_append_text(&b, "HTTP/1.1 100 Continue\r\n\r\n");
-		http_conn_send(c, &b);
-	}
-	return 0;
-}
-
-static int on_body(http_parser *p, const char *at, size_t len)
-{
-	struct http_conn *c = p->data;
-
-	if (c->msg->body.len + len > c->limits.body_bytes)
-		return set_error(c, 413);
-	if (charge(c, len))
-		return -1;
-	buf_append(&c->msg->body, at, len);
-	return 0;
-}
-
-static int on_complete(http_parser *p)
-{
-	struct http_conn *c = p->data;
-	struct http_msg *m = c->msg;
-
-	m->keep_alive = http_should_keep_alive(p) != 0;
-	c->msg = NULL;
-	c->begun_us = 0;
-	c->awaits_answer = false;
-	http_charge_trim(&m->charge);
-	release_kept_room(c);
-	c->ops->message(c, m);
-	return c->closing || c->finishing ? -1 : 0;
-}
-
-static const http_parser_settings parser_settings = {
-	.on_message_begin = on_begin,
-	.on_url = on_url,
-	.on_header_field = on_field,
-	.on_header_value = on_value,
-	.on_headers_complete = on_headers,
-	.on_body = on_body,
-	.on_message_complete = on_complete,
-};
+static char read_buffer[HTTP_READ_BYTES];
 
 static void stop_waiting(struct http_conn *c)
 {
 	if (!c->waiting)
 		return;
 	c->waiting = false;
-	TAILQ_REMOVE(&c->limits.budget->waiting, c, waiting_link);
+	TAILQ_REMOVE(&c->receiver.limits.budget->waiting, c, waiting_link);
 }
 
 static void on_closed(uv_handle_t *handle)
 {
 	struct http_conn *c = handle->data;
 
-	http_msg_destroy(c->msg);
 	free(c);
 }
 
@@ -320,7 +75,7 @@
 		return;
 	c->closing = true;
 	stop_waiting(c);
-	release_kept_room(c);
+	http_receiver_release(&c->receiver);
 	timer_cancel(&c->linger);
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
@@ -376,38 +131,18 @@
 		return;
 	}
 	c->invalid = true;
-	c->begun_us = 0;
-	http_msg_destroy(c->msg);
-	c->msg = NULL;
+	http_receiver_release(&c->receiver);
 	c->ops->invalid(c, status);
 }
 
-/* Number of bytes that may be read now without more being held than the budget allows. */
-static size_t readable_bytes(const struct http_conn *c)
-{
-	const struct http_budget *b = c->limits.budget;
-	size_t bytes = 0;
-
-	if (c->server || c->finishing || !b)
-		return READ_BYTES;
-	/* Nothing but the end of the connection is expected. */
-	if (!c->msg && !c->awaits_answer)
-		return HTTP_BUDGET_READ_MIN_BYTES;
-	if (c->msg)
-		bytes = http_charge_reserved(&c->msg->charge);
-	/* A body that has got no room stays at its server. */
-	if (!bytes && c->msg && length_is_known(c))
-		return 0;
-	if (!waits_for_nodes(c))
-		bytes += http_budget_free_bytes(b);
-	return bytes < READ_BYTES ? bytes : READ_BYTES;
-}
-
 /* An empty buffer makes libuv report ENOBUFS and leave the bytes in the socket. */
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
 {
+	const struct http_conn *c = handle->data;
+	size_t bytes = c->finishing ? HTTP_READ_BYTES : http_receiver_readable(&c->receiver);
+
 	(void)suggested;
-	*out = uv_buf_init(read_buffer, (unsigned int)readable_bytes(handle->data));
+	*out = uv_buf_init(read_buffer, (unsigned int)bytes);
 }
 
 /*
@@ -431,7 +166,7 @@
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *in)
 {
 	struct http_conn *c = stream->data;
-	size_t used;
+	uint16_t status;
 
 	if (c->closing || n == 0)
 		return;
@@ -442,9 +177,8 @@
 	if (n == UV_EOF)
 		n = end_of_stream(c);
 	if (n < 0) {
-		/* A message without a length ends with the connection. */
-		if (n == UV_EOF && !c->server && c->msg)
-			http_parser_execute(&c->parser, &parser_settings, NULL, 0);
+		if (n == UV_EOF)
+			http_receiver_end(&c->receiver);
 		uv_read_stop(stream);
 		report_closed(c, n == UV_EOF ? 0 : (int)n);
 		return;
@@ -454,19 +188,9 @@
 		discard(c, (size_t)n);
 		return;
 	}
-	used = http_parser_execute(&c->parser, &parser_settings, in->base, (size_t)n);
-	if (c->closing || c->finishing)
-		return;
-	if (c->bad_status || HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || used != (size_t)n)
-		report_invalid(c, c->bad_status ? c->bad_status : 400);
-}
-
-/* Tests whether a waiting connection can be read on, and reserves the room for it. */
-static bool find_room(struct http_conn *c)
-{
-	if (c->msg)
-		return reserve_rest(c);
-	return readable_bytes(c) > 0;
+	status = http_receiver_add(&c->receiver, in->base, (size_t)n);
+	if (status && !c->closing && !c->finishing)
+		report_invalid(c, status);
 }
 
 /* Reads the answers on that wait at their servers, as far as there is room again. */
@@ -478,7 +202,7 @@
 		int rc;
 
 		next = TAILQ_NEXT(c, waiting_link);
-		if (!find_room(c))
+		if (!http_receiver_find_room(&c->receiver))
 			continue;
 		stop_waiting(c);
 		rc = uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
@@ -502,7 +226,7 @@
 /* Leaves what follows with the server until there is room. */
 static void wait_for_room(struct http_conn *c)
 {
-	struct http_budget *b = c->limits.budget;
+	struct http_budget *b = c->receiver.limits.budget;
 
 	uv_read_stop((uv_stream_t *)&c->tcp);
 	if (!b->before_poll) {
@@ -516,18 +240,49 @@
 	uv_prepare_start(b->before_poll, on_before_poll);
 }
 
-static struct http_conn *create(uv_loop_t *loop, const struct http_conn_ops *ops,
+static bool on_begin(void *ctx)
+{
+	struct http_conn *c = ctx;
+
+	if (c->ops->begin)
+		c->ops->begin(c);
+	return !c->closing;
+}
+
+static void on_expects_continue(void *ctx)
+{
+	struct buf b = {0};
+
+	buf_append_text(&b, "HTTP/1.1 100 Continue\r\n\r\n");
+	http_conn_send(ctx, &b);
+}
+
+static bool on_message(void *ctx, struct http_msg *m)
+{
+	struct http_conn *c = ctx;
+
+	c->ops->message(c, m);
+	return !c->closing && !c->finishing;
+}
+
+static const struct http_receiver_ops receiver_ops = {
+	.begin = on_begin,
+	.expects_continue = on_expects_continue,
+	.message = on_message,
+};
+
+static struct http_conn *create(uv_loop_t *loop, bool server, const struct http_conn_ops *ops,
 				const struct http_limits *limits, void *owner)
 {
 	struct http_conn *c = xcalloc(1, sizeof(*c));
 
+	c->server = server;
+	http_receiver_init(&c->receiver, server, limits, &receiver_ops, c);
 	uv_tcp_init(loop, &c->tcp);
 	c->tcp.data = c;
 	c->ops = ops;
-	c->limits = *limits;
 	c->owner = owner;
 	c->received_us = clock_now_us();
-	c->parser.data = c;
 	return c;
 }
 
@@ -549,11 +304,8 @@
 struct http_conn *http_conn_accept(uv_stream_t *server, const struct http_conn_ops *ops,
 				   const struct http_limits *limits, void *owner)
 {
-	struct http_conn *c = create(server->loop, ops, limits, owner);
+	struct http_conn *c = create(server->loop, true, ops, limits, owner);
 
-	c->server = true;
-	http_parser_init(&c->parser, HTTP_REQUEST);
-	c->parser.data = c;
 	if (uv_accept(server, (uv_stream_t *)&c->tcp) ||
 	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read)) {
 		http_conn_close(c);
@@ -582,10 +334,8 @@
 				    const struct http_conn_ops *ops,
 				    const struct http_limits *limits, void *owner)
 {
-	struct http_conn *c = create(loop, ops, limits, owner);
+	struct http_conn *c = create(loop, false, ops, limits, owner);
 
-	http_parser_init(&c->parser, HTTP_RESPONSE);
-	c->parser.data = c;
 	c->connect.data = c;
 	if (uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)addr, on_connect)) {
 		http_conn_close(c);
@@ -597,7 +347,7 @@
 
 void http_conn_expect_no_body(struct http_conn *c, bool no_body)
 {
-	c->no_body = no_body;
+	c->receiver.no_body = no_body;
 }
 
 void *http_conn_owner(const struct http_conn *c)
@@ -607,25 +357,25 @@
 
 static void add_unsent(struct http_conn *c, size_t bytes)
 {
-	struct http_budget *b = c->limits.budget;
+	struct http_budget *b = c->receiver.limits.budget;
 
 	c->unsent += bytes;
 	if (!b)
 		return;
 	b->unsent_bytes += bytes;
-	if (c->limits.peer_is_node)
+	if (c->receiver.limits.peer_is_node)
 		b->unsent_to_nodes_bytes += bytes;
 }
 
 static void remove_unsent(struct http_conn *c, size_t bytes)
 {
-	struct http_budget *b = c->limits.budget;
+	struct http_budget *b = c->receiver.limits.budget;
 
 	c->unsent -= bytes;
 	if (!b)
 		return;
 	b->unsent_bytes -= bytes;
-	if (c->limits.peer_is_node)
+	if (c->receiver.limits.peer_is_node)
 		b->unsent_to_nodes_bytes -= bytes;
 }
 
@@ -691,7 +441,7 @@
 		buf_free(bytes);
 		return;
 	}
-	c->awaits_answer = !c->server;
+	c->receiver.awaits_answer = !c->server;
 	if (!c->unsent)
 		sent = uv_try_write((uv_stream_t *)&c->tcp, &chunk, 1);
 	if (sent < 0)
@@ -713,7 +463,7 @@
 
 uint64_t http_conn_msg_begun_us(const struct http_conn *c)
 {
-	return c->begun_us;
+	return c->receiver.begun_us;
 }
 
 uint64_t http_conn_received_us(const struct http_conn *c)
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -7,7 +7,7 @@
 #ifndef NET_HTTP_CONN_H
 #define NET_HTTP_CONN_H
 
-#include "net/http_msg.h"
+#include "net/http_receive.h"
 
 #include <netinet/in.h>
 #include <uv.h>
@@ -17,18 +17,6 @@
 /** A shorter body is copied behind its head, so that one call sends both. */
 #define HTTP_LONG_BODY_BYTES 65536
 
-/** Maximum sizes of the header and the body of a message from the peer. */
-struct http_limits {
-	uint32_t header_bytes;
-	uint64_t body_bytes;
-	/** Limit that messages of several connections share; NULL for none. */
-	struct http_budget *budget;
-	/** The peer is another node, which may in turn wait for this one to read. */
-	bool peer_is_node;
-	/** Answers are not received while more bytes wait for other nodes; 0 for no limit. */
-	size_t unsent_to_nodes_max_bytes;
-};
-
 struct http_conn_ops {
 	/** A whole message has arrived; the callee owns it. */
 	void (*message)(struct http_conn *c, struct http_msg *m);
--- a/tests/fuzz/http_targets.h
+++ b/tests/fuzz/http_targets.h
@@ -134,7 +134,8 @@
 
 static void run_http_answer(const char *bytes, size_t len)
 {
-	static struct conn_pool_cfg cfg = {.connect_timeout_ms = 1000, .idle_ms = 1000, .idle_max = 1};
+	static struct conn_pool_cfg cfg = {
+		.connect_timeout_ms = 1000, .idle_ms = 1000, .idle_max = 1};
 	static int listener = -1;
 	struct http_call call = {.done = http_fuzz_on_done, .head = len % 5 == 0};
 	struct conn_pool *pool;
