Serve callers of a stopping node from its own target

In a planned stop of the node beside the only serving target of a service, callers that had not noticed the stop yet got 503 for up to 2.3 s, although the target went on. Cause: the node's entry tells others that the target serves no more, and the node itself went by that entry.

Of the target on its own VM a node now goes by its own state.

--- a/mesh/request.c
+++ b/mesh/request.c
@@ -324,10 +324,19 @@
 	}
 }
 
-/* Tests whether a member's target accepts requests of a service. */
-static bool serves(const struct member *m, const char *service)
+/*
+ * State of a member's target. Of this VM's target the node knows more than its entry says: other
+ * nodes are told that it serves no more as soon as this node stops, but callers may still be served.
+ */
+static const struct target_status *status_of(const struct board *b, const struct member *m)
+{
+	return m->self ? target_status(b->target) : &m->target;
+}
+
+/* Tests whether a target accepts requests of a service. */
+static bool serves(const struct target_status *t, const char *service)
 {
-	return m->target.phase == TARGET_SERVING && !strcmp(m->target.service, service);
+	return t->phase == TARGET_SERVING && !strcmp(t->service, service);
 }
 
 /*
@@ -369,8 +378,9 @@
 
 	for (size_t i = 0; i < n; i++) {
 		struct member *m = members_at(b->members, i);
+		const struct target_status *t = status_of(b, m);
 
-		if (!serves(m, service))
+		if (!serves(t, service))
 			continue;
 		if (m->self)
 			update_local_target_load(b, m);
@@ -378,7 +388,7 @@
 			(struct br_balance_candidate){.id = m->id,
 						      .zone = m->zone,
 						      .joined_us = m->joined_us,
-						      .cold = now_us < m->target.cold_until_us};
+						      .cold = now_us < t->cold_until_us};
 		member_index[n_candidates++] = i;
 	}
 	picked = n_candidates ? br_balance_pick_by_cost(b->balance, candidates, n_candidates, &want,
@@ -403,11 +413,11 @@
 	if (r->n_tried)
 		EVENT(EVENT_INFO, "request", "sent_again", EVENT_TEXT("request", r->id),
 		      EVENT_TEXT("route", r->route->name), EVENT_TEXT("from", r->target),
-		      EVENT_TEXT("to", m->target.id),
+		      EVENT_TEXT("to", status_of(r->board, m)->id),
 		      EVENT_TEXT("why", job_reason_text(r->last_reason)),
 		      EVENT_NUMBER("reached", r->n_reached));
 	r->tried[r->n_tried++] = m->id;
-	br_copy_text(r->target, sizeof(r->target), m->target.id);
+	br_copy_text(r->target, sizeof(r->target), status_of(r->board, m)->id);
 	r->job = (struct job){
 		.msg = r->msg,
 		.id = r->id,
--- a/net/http_receive.c
+++ b/net/http_receive.c
@@ -12,7 +12,8 @@
 
 	http_msg_destroy(r->msg);
 	r->msg = http_msg_create();
-	r->msg->charge = (struct http_charge){.budget = r->limits.budget, .is_request = r->is_server};
+	r->msg->charge =
+		(struct http_charge){.budget = r->limits.budget, .is_request = r->is_server};
 	r->value_open = false;
 	r->headers_done = false;
 	r->announced_bytes = UINT64_MAX;
@@ -290,4 +291,3 @@
 		return reserve_rest(r);
 	return http_receiver_readable(r) > 0;
 }
-
