Refuse a request without room like any other

A request whose body found no room got a bare 503: no time to come back, and it counted in no counter. It is refused as others are now, with Retry-After from the module that chooses it and a line in the log.

Evidence: node-refused-body checks the time and that the request has not run; it failed before the change, since the field was missing.

--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -191,25 +191,34 @@
 		send_ready_answers(c);
 }
 
+static void answer_malformed(struct exchange *ex, uint16_t status)
+{
+	struct request_answer answer = {.status = status};
+
+	EVENT(EVENT_WARNING, "caller", "malformed", EVENT_NUMBER("status", status));
+	buf_append_text(&answer.fields, "Content-Length: 0\r\n");
+	on_answer(ex, NULL, &answer);
+	buf_free(&answer.fields);
+}
+
 /* Answers a message that could not be read, behind the answers to earlier requests. */
 static void on_invalid(struct http_conn *conn, uint16_t status)
 {
 	struct caller_conn *c = http_conn_owner(conn);
-	struct request_answer answer = {.status = status};
 	struct exchange *ex;
 
-	EVENT(EVENT_WARNING, "caller", status == 503 ? "no_room" : "malformed",
-	      EVENT_NUMBER("status", status));
 	if (c->closing)
 		return;
 	c->closing = true;
 	ex = add_exchange(c);
-	ex->answered = true;
 	ex->close_after = true;
-	buf_append_text(&answer.fields, "Content-Length: 0\r\n");
-	write_answer(ex, &answer);
-	buf_free(&answer.fields);
-	hold_back(ex);
+	ex->starting = true;
+	if (status == 503)
+		request_refuse(c->server->board, http_msg_create(), on_answer, ex, &ex->request,
+			       "there is no room for it");
+	else
+		answer_malformed(ex, status);
+	ex->starting = false;
 	send_ready_answers(c);
 }
 
