Refuse settings files that would be cut off

Settings beyond 1 MiB (64 KiB for the mesh node), or behind a NUL, were ignored silently, and a value could be cut in its middle; errors of reading were swallowed. Both programs had the same lines for it; they share common/text_file.c now, which refuses such a file and says why.

Evidence: text_file/long_settings_are_refused failed before. 290 tests pass.

--- a/common/settings.c
+++ b/common/settings.c
@@ -1,6 +1,7 @@
 #include "common/settings.h"
 
 #include "briarreel/error.h"
+#include "common/text_file.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -9,7 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Maximum size of a settings file; text beyond it is ignored. */
+/* Maximum size of a settings file. */
 #define MAX_FILE_BYTES (1U << 20)
 /* Number of keys that find_repeated_key() stores; repetitions of later keys are not found. */
 #define MAX_KEYS_SEEN 128
@@ -258,22 +259,11 @@
 int settings_read(const char *path, const struct settings_key *keys, size_t n_keys, void *out,
 		  struct br_error *err)
 {
-	FILE *f = fopen(path, "re");
 	char *text;
-	size_t n;
-	int ret;
+	int ret = text_file_read(path, MAX_FILE_BYTES, &text, err);
 
-	if (!f)
-		return br_error_set(err, -errno, BR_STEP_PARSE, NULL, "%s: %s", path,
-				    strerror(errno));
-	text = malloc(MAX_FILE_BYTES + 1);
-	if (!text) {
-		fclose(f);
-		return br_error_set(err, -ENOMEM, BR_STEP_PARSE, NULL, "out of memory");
-	}
-	n = fread(text, 1, MAX_FILE_BYTES, f);
-	fclose(f);
-	text[n] = '\0';
+	if (ret)
+		return ret;
 	ret = settings_parse(path, text, keys, n_keys, out, err);
 	free(text);
 	return ret;
