Run jobs at the target that has replaced the named one

Cause: a job names the target's id that the sender knows from the entries, and a target's start gives it a new one; the new entries take a second to reach everybody. Three targets in a row said that they were another one.

A job names the service as well, and a serving target of that service runs it. The target still gets its own id in the request, so that an address that is used again by another service refuses as before. The service is a further value of the field between nodes: earlier versions ignore it, and jobs without it are matched by the id alone.

--- a/mesh/job.h
+++ b/mesh/job.h
@@ -62,8 +62,9 @@
 	const struct http_msg *msg;
 	/** Request id. */
 	const char *id;
-	/** Id of the target. */
+	/** Id of the target that the sender knows, and its service; service may be empty. */
 	const char *target;
+	const char *service;
 	/** Empty if the request has no account. */
 	const char *account;
 	/** Service of the VM on which the request began. */
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -284,6 +284,7 @@
 		.msg = m,
 		.id = id ? id : "",
 		.target = pc->job_field.target,
+		.service = pc->job_field.service,
 		.account = pc->job_field.account,
 		.caller_service = pc->job_field.caller_service,
 		.account_hash = pc->job_field.account_hash,
--- a/mesh/peer_format.c
+++ b/mesh/peer_format.c
@@ -7,6 +7,8 @@
 
 /* Written in place of an empty string, since the values are separated by spaces. */
 #define EMPTY_TEXT "-"
+/* Nodes of earlier versions do not send the service, and ignore it. */
+#define PEER_JOB_VALUES_MIN 12
 
 static const char *text_or_placeholder(const char *text)
 {
@@ -28,26 +30,28 @@
 {
 	buf_printf(b,
 		   PEER_JOB_FIELD ": %" PRIu64 " %" PRIu64 " %" PRIu64 " %" PRIx64 " %" PRIx64
-				  " %u %u %u %u %s %s %s\r\n",
+				  " %u %u %u %u %s %s %s %s\r\n",
 		   time_left_ms(job->deadline_us, now_us),
 		   time_left_ms(job->queue_until_us, now_us), version, job->account_hash,
 		   job->route_hash, job->rank, job->shed_order, job->idempotent, job->is_call,
 		   text_or_placeholder(job->target), text_or_placeholder(job->account),
-		   text_or_placeholder(job->caller_service));
+		   text_or_placeholder(job->caller_service), text_or_placeholder(job->service));
 }
 
 int peer_read_job(const char *text, struct peer_job *out)
 {
 	unsigned int rank, shed_order, idempotent, is_call;
+	int n = sscanf(text,
+		       "%" SCNu64 " %" SCNu64 " %" SCNu64 " %" SCNx64 " %" SCNx64
+		       " %u %u %u %u %63s %63s %63s %63s",
+		       &out->time_left_ms, &out->queue_time_ms, &out->version, &out->account_hash,
+		       &out->route_hash, &rank, &shed_order, &idempotent, &is_call, out->target,
+		       out->account, out->caller_service, out->service);
 
-	if (sscanf(text,
-		   "%" SCNu64 " %" SCNu64 " %" SCNu64 " %" SCNx64 " %" SCNx64
-		   " %u %u %u %u %63s %63s %63s",
-		   &out->time_left_ms, &out->queue_time_ms, &out->version, &out->account_hash,
-		   &out->route_hash, &rank, &shed_order, &idempotent, &is_call, out->target,
-		   out->account, out->caller_service) != 12 ||
-	    shed_order > UINT16_MAX)
+	if (n < PEER_JOB_VALUES_MIN || shed_order > UINT16_MAX)
 		return -EINVAL;
+	if (n == PEER_JOB_VALUES_MIN)
+		out->service[0] = '\0';
 	out->rank = (uint8_t)(rank < MESH_RANKS ? rank : MESH_RANKS - 1);
 	out->shed_order = (uint16_t)shed_order;
 	out->is_call = is_call != 0;
@@ -55,6 +59,7 @@
 	placeholder_to_empty(out->target);
 	placeholder_to_empty(out->account);
 	placeholder_to_empty(out->caller_service);
+	placeholder_to_empty(out->service);
 	return 0;
 }
 
--- a/mesh/peer_format.h
+++ b/mesh/peer_format.h
@@ -23,6 +23,8 @@
 	uint16_t shed_order;
 	bool idempotent, is_call;
 	char target[BR_NAME_BYTES];
+	/** Empty if the sender does not name it. */
+	char service[BR_NAME_BYTES];
 	char account[BR_NAME_BYTES];
 	char caller_service[BR_NAME_BYTES];
 };
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -422,6 +422,7 @@
 		.msg = r->msg,
 		.id = r->id,
 		.target = r->target,
+		.service = service_name(r),
 		.account = r->account ? r->account->name : "",
 		.caller_service = r->board->settings->service,
 		.account_hash = r->account_hash,
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -493,11 +493,24 @@
 		start_job(t, e->data, now_us);
 }
 
+/*
+ * Tests whether a job is for this target. Other nodes may know the id of the one before it for a
+ * while, as after all VMs were off; one of the same service runs its jobs as well.
+ */
+static bool is_for_target(const struct target *t, const struct job *job)
+{
+	if (t->status.phase == TARGET_ABSENT)
+		return false;
+	if (!strcmp(t->status.id, job->target))
+		return true;
+	return t->status.phase == TARGET_SERVING && !strcmp(t->status.service, job->service);
+}
+
 /* Returns why a job cannot be accepted, JOB_REASON_NONE if it can. */
 static enum job_reason not_run_reason(struct target *t, const struct job *job, uint64_t now_us)
 {
 	close_if_drained(t, now_us);
-	if (t->status.phase == TARGET_ABSENT || strcmp(t->status.id, job->target) != 0)
+	if (!is_for_target(t, job))
 		return JOB_REASON_NO_TARGET;
 	if (t->status.phase == TARGET_CLOSED ||
 	    !br_stop_can_finish(&t->board->stop, board_expected_us(t->board, TIME_TARGET), now_us))
--- a/tests/unit/mesh_model.c
+++ b/tests/unit/mesh_model.c
@@ -168,6 +168,7 @@
 			  .target = "t",
 			  .account = "",
 			  .caller_service = "svc",
+			  .service = "wanted",
 			  .account_hash = UINT64_MAX,
 			  .route_hash = 5,
 			  .deadline_us = 1500 * BR_US_PER_MS,
@@ -198,6 +199,7 @@
 	cr_assert_not(decoded.idempotent);
 	cr_assert_str_eq(decoded.account, "");
 	cr_assert_str_eq(decoded.target, "t");
+	cr_assert_str_eq(decoded.service, "wanted");
 	cr_assert_eq(decoded.account_hash, UINT64_MAX);
 	buf_free(&b);
 	peer_write_end(&b, &end);
@@ -209,6 +211,9 @@
 	cr_assert(decoded_end.reached);
 	cr_assert_lt(peer_read_end("9 none 0 0 0 0 0 0 0", &decoded_end), 0);
 	cr_assert_lt(peer_read_job("1 2 3", &decoded), 0);
+	/* A node of an earlier version names no service. */
+	cr_assert_eq(peer_read_job("1 2 3 4 5 0 9 1 0 a b c", &decoded), 0);
+	cr_assert_str_eq(decoded.service, "");
 	cr_assert_lt(peer_read_job("1 2 3 4 5 0 65536 1 0 a b c", &decoded), 0);
 	buf_free(&b);
 }
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -45,6 +45,7 @@
 	j->job = (struct job){.msg = j->msg,
 			      .id = id,
 			      .target = "t1",
+			      .service = "",
 			      .account = "",
 			      .caller_service = "s",
 			      .deadline_us = until_us,
