Fetch a newer configuration from other nodes while cut off

Cause: they learn of a newer version from the answers of other nodes, but could ask only the store for it; an old version is confirmed by nobody.

Such a node now fetches the configuration from the node whose answer told of it, whose further answers confirm it.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -72,8 +72,11 @@
 	/** The configuration's text as the store holds it, and its revision there. */
 	struct buf config_text;
 	uint64_t config_revision;
-	/** Called when another node runs a newer version; NULL while there is no config watch. */
-	void (*on_newer_version)(void *ctx, uint64_t version);
+	/**
+	 * Called when another node runs a newer version; NULL while there is no config watch. source
+	 * is the peer address of a node that has it, or NULL if that is not known.
+	 */
+	void (*on_newer_version)(void *ctx, uint64_t version, const struct sockaddr_in *source);
 	void *on_newer_version_ctx;
 	struct store *store;
 	struct members *members;
@@ -179,11 +182,15 @@
 		b->on_progress(b->on_progress_ctx);
 }
 
-/** Reports the configuration version of another node; notifies the config watch if it is newer. */
-static inline void board_report_version(struct board *b, uint64_t version)
+/**
+ * Reports the configuration version of another node; notifies the config watch if it is newer.
+ * source is the node's peer address or NULL.
+ */
+static inline void board_report_version(struct board *b, uint64_t version,
+					const struct sockaddr_in *source)
 {
 	if (b->on_newer_version && version > (b->config ? b->config->version : 0))
-		b->on_newer_version(b->on_newer_version_ctx, version);
+		b->on_newer_version(b->on_newer_version_ctx, version, source);
 }
 
 #endif
--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -3,6 +3,7 @@
 #include "briarreel/error.h"
 #include "common/clock.h"
 #include "mesh/event_log.h"
+#include "mesh/keeper_link.h"
 #include "net/timer.h"
 #include "platform/decode.h"
 #include "platform/store.h"
@@ -37,6 +38,8 @@
 
 struct config_watch {
 	struct board *board;
+	/** Fetches the configuration from other nodes. */
+	struct keeper_link *link;
 	struct timer *check_timer, *retry_timer;
 	uint64_t started_us, retry_delay_ms;
 	/** Times at which the pending read or watch, and the pending probe, were sent. */
@@ -69,12 +72,12 @@
 }
 
 void config_confirm_from_peer(struct board *board, uint64_t version, uint64_t age_ms,
-			      uint64_t sent_us)
+			      uint64_t sent_us, const struct sockaddr_in *source)
 {
 	if (board->config && version == board->config->version && age_ms * BR_US_PER_MS < sent_us)
 		confirm(board, sent_us - age_ms * BR_US_PER_MS);
 	else
-		board_report_version(board, version);
+		board_report_version(board, version, source);
 }
 
 static int apply_config(struct board *board, const char *text, size_t len, uint64_t revision)
@@ -281,13 +284,18 @@
 	return 0;
 }
 
-static void probe_newer_version(void *ctx, uint64_t version)
+static void on_newer_version(void *ctx, uint64_t version, const struct sockaddr_in *source)
 {
 	struct config_watch *w = ctx;
 
-	(void)version;
-	if (w->probe_pending || w->retry_timer || !w->revision || w->board->store_unreachable ||
-	    board_follows_keeper(w->board, clock_now_us()))
+	if (board_follows_keeper(w->board, clock_now_us()))
+		return;
+	if (w->board->store_unreachable) {
+		if (source)
+			keeper_link_fetch_config(w->link, version, source);
+		return;
+	}
+	if (w->probe_pending || w->retry_timer || !w->revision)
 		return;
 	/* No keeper delivers the version and a pending watch may miss it: the store is probed. */
 	w->probe_pending = true;
@@ -296,14 +304,15 @@
 		    READ_TIMEOUT_MS, on_probe, w);
 }
 
-struct config_watch *config_watch_create(struct board *board)
+struct config_watch *config_watch_create(struct board *board, struct keeper_link *link)
 {
 	struct config_watch *w = xcalloc(1, sizeof(*w));
 
 	w->board = board;
+	w->link = link;
 	w->retry_delay_ms = RETRY_MIN_MS;
 	w->probe_due_age_ms = probe_age_ms(w);
-	board->on_newer_version = probe_newer_version;
+	board->on_newer_version = on_newer_version;
 	board->on_newer_version_ctx = w;
 	w->started_us = clock_now_us();
 	w->check_timer = timer_repeat(board->loop, CHECK_MS, on_check, w);
--- a/mesh/config_watch.h
+++ b/mesh/config_watch.h
@@ -9,9 +9,13 @@
 #include "mesh/board.h"
 
 struct config_watch;
+struct keeper_link;
 
-/** Starts the watch and sets board.on_newer_version; a board has one config watch. */
-struct config_watch *config_watch_create(struct board *board);
+/**
+ * Starts the watch and sets board.on_newer_version; a board has one config watch. Where neither a
+ * keeper nor the store is reached, the configuration is fetched through link from other nodes.
+ */
+struct config_watch *config_watch_create(struct board *board, struct keeper_link *link);
 void config_watch_destroy(struct config_watch *w);
 
 /**
@@ -33,10 +37,10 @@
 /**
  * Applies another node's confirmation: its answer to a request sent at sent_us reports that it
  * confirmed a version age_ms before answering. If this node has another version, the version is
- * only reported, see board_report_version(). Messages that answer no request must not be passed,
+ * only reported with the source, see board_report_version(). Messages that answer no request must not be passed,
  * since an unknown delay would make the confirmation look newer than it is.
  */
 void config_confirm_from_peer(struct board *board, uint64_t version, uint64_t age_ms,
-			      uint64_t sent_us);
+			      uint64_t sent_us, const struct sockaddr_in *source);
 
 #endif
--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -183,7 +183,7 @@
 	http_msg_destroy(msg);
 }
 
-static void fetch(struct keeper_link *l, bool view)
+static void send_fetch(struct keeper_link *l, bool view, struct buf *what)
 {
 	struct buf b = {0};
 
@@ -191,14 +191,29 @@
 	l->call.done = on_done;
 	l->call.timeout_ms = FETCH_TIMEOUT_MS;
 	buf_append_text(&b, "GET / HTTP/1.1\r\n" KEEPER_FETCH_FIELD ": ");
-	if (view)
-		buf_printf(&b, "view %u %u %u %u\r\n\r\n", l->fetched.incarnation,
-			   l->fetched.changes, l->keeper.view.incarnation, l->keeper.view.changes);
-	else
-		buf_printf(&b, "config %" PRIu64 "\r\n\r\n", l->keeper.version);
+	buf_append(&b, what->data, what->len);
+	buf_append_text(&b, "\r\n\r\n");
+	buf_free(what);
 	conn_pool_send(l->pool, &l->call, &b);
 }
 
+static void fetch_view(struct keeper_link *l)
+{
+	struct buf what = {0};
+
+	buf_printf(&what, "view %u %u %u %u", l->fetched.incarnation, l->fetched.changes,
+		   l->keeper.view.incarnation, l->keeper.view.changes);
+	send_fetch(l, true, &what);
+}
+
+static void fetch_config(struct keeper_link *l, uint64_t version)
+{
+	struct buf what = {0};
+
+	buf_printf(&what, "config %" PRIu64, version);
+	send_fetch(l, false, &what);
+}
+
 static void fetch_if_outdated(struct keeper_link *l)
 {
 	uint64_t now_us = clock_now_us();
@@ -213,7 +228,21 @@
 		return;
 	choose_source(l, now_us);
 	board_count(l->board, l->source_is_relay ? COUNT_FETCHES_RELAY : COUNT_FETCHES_KEEPER);
-	fetch(l, !config_outdated(l));
+	if (config_outdated(l))
+		fetch_config(l, l->keeper.version);
+	else
+		fetch_view(l);
+}
+
+void keeper_link_fetch_config(struct keeper_link *l, uint64_t version,
+			      const struct sockaddr_in *source)
+{
+	if (!l->receiver.config || http_call_active(&l->call) || l->retry_timer)
+		return;
+	set_source(l, source);
+	l->source_is_relay = true;
+	board_count(l->board, COUNT_FETCHES_RELAY);
+	fetch_config(l, version);
 }
 
 void keeper_link_notice(struct keeper_link *l, uint64_t version, const struct view_position *view)
--- a/mesh/keeper_link.h
+++ b/mesh/keeper_link.h
@@ -73,6 +73,13 @@
  */
 void keeper_link_notice(struct keeper_link *l, uint64_t version, const struct view_position *view);
 
+/**
+ * Fetches a version of the configuration from a node that has it, for a node that reaches neither a
+ * keeper nor the store. Does nothing while another fetch is in progress.
+ */
+void keeper_link_fetch_config(struct keeper_link *l, uint64_t version,
+			      const struct sockaddr_in *source);
+
 /** Writes the complete HTTP answer to a fetch; fetch is the value of KEEPER_FETCH_FIELD. */
 void keeper_link_answer_fetch(const struct board *board, const char *fetch, struct buf *out);
 
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -279,7 +279,7 @@
 	b->target_search = target_search_create(b);
 	n->keeper_link = keeper_link_create(b);
 	b->quota = quota_create(b, n->keeper_link);
-	n->config_watch = config_watch_create(b);
+	n->config_watch = config_watch_create(b, n->keeper_link);
 	n->election = election_create(b);
 	n->presence = presence_create(b, on_lease_change, n);
 	n->view_watch = view_watch_create(b, n->election, n->presence);
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -39,11 +39,14 @@
 
 static void record_answer(const struct remote_job *run, const struct peer_end *end, uint64_t now_us)
 {
+	const struct member *m = members_find(run->board->members, run->node);
+
 	br_balance_record_load(run->board->balance, &run->id, end->in_flight + end->queued,
 			       end->limit, now_us);
 	br_balance_record_failure_rate(run->board->balance, &run->id, end->failed_permille / 1000.0,
 				       now_us);
-	config_confirm_from_peer(run->board, end->version, end->confirmation_age_ms, run->sent_us);
+	config_confirm_from_peer(run->board, end->version, end->confirmation_age_ms, run->sent_us,
+				 m ? &m->addr : NULL);
 }
 
 static void end_run(struct job *job, enum br_balance_end how)
@@ -274,7 +277,7 @@
 		refuse_malformed(pc);
 		return;
 	}
-	board_report_version(board, pc->job_field.version);
+	board_report_version(board, pc->job_field.version, NULL);
 	/* The times left have run on while the job waited to be read. */
 	arrived_us = now_us - br_pause_waited_us(&board->pause, now_us);
 	pc->msg = m;
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -282,7 +282,7 @@
 	if (!q->allocator || was_paused(q, now_us) || !members_known(q) ||
 	    br_quota_allocator_heartbeat(q->allocator, in->node_hash, now_us))
 		return;
-	board_report_version(q->board, in->version);
+	board_report_version(q->board, in->version, NULL);
 	out.type = KEEPER_GRANT;
 	fill_sender_state(q, &out);
 	for (uint32_t i = 0; i < out.n_rows; i++) {
@@ -306,7 +306,8 @@
 	/* Fetches need the keeper's TCP port, not the port for datagrams. */
 	state.addr.sin_port = q->keeper_port;
 	keeper_link_update(q->link, &state);
-	config_confirm_from_peer(q->board, in->version, in->confirmation_age_ms, in->requested_us);
+	config_confirm_from_peer(q->board, in->version, in->confirmation_age_ms, in->requested_us,
+				 NULL);
 }
 
 static bool has_wait(const struct quota *q, uint64_t account, uint64_t requested_us)
