Learn of the keeper from other nodes while cut off

Nodes that are cut off from the store together with the keeper could not learn of the one that the others elect: only the store told them. They spent their parts of the rates alone, and refused what the account's rate allowed.

An answer to a fetch tells the keeper's key as the answering node knows it. Keys are ordered by their revision in the store. New metric: follows_keeper.

--- a/mesh/board.h
+++ b/mesh/board.h
@@ -18,6 +18,13 @@
 	uint32_t incarnation, changes;
 };
 
+/** Content of the keeper's key in the store; see election.h. */
+struct keeper_key {
+	/** Empty if the key is not known or does not exist. */
+	char value[BR_NAME_BYTES + BR_NODE_ID_BYTES];
+	uint64_t lease, revision;
+};
+
 struct store;
 struct members;
 struct quota;
@@ -91,6 +98,8 @@
 	bool store_unreachable;
 	/** The last read or watch of the configuration failed. */
 	bool config_watch_failed;
+	/** Latest known state of the keeper's key. */
+	struct keeper_key keeper_key;
 	/** This node is the keeper and its lease was valid at the last check; see election.h. */
 	bool is_keeper;
 	/** Time until which the keeper's answers replace calls to the store; 0 without a keeper. */
--- a/mesh/election.c
+++ b/mesh/election.c
@@ -77,6 +77,9 @@
 	e->revision = revision;
 	e->key_lease = lease;
 	e->key_read = true;
+	e->board->keeper_key = (struct keeper_key){.lease = lease, .revision = revision};
+	if (value)
+		br_copy_text(e->board->keeper_key.value, sizeof(e->board->keeper_key.value), value);
 	if (!value || sscanf(value, "%63s %47s", e->keeper, addr_text) != 2 ||
 	    mesh_parse_addr(addr_text, &addr)) {
 		e->keeper[0] = '\0';
--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -129,6 +129,21 @@
 			      &reached->incarnation, &reached->changes) == 4;
 }
 
+/* Reads KEEPER_KEY_FIELD, whose value ends with the key's, which holds a space. */
+static void apply_keeper_key(struct keeper_link *l, const struct http_msg *msg)
+{
+	const char *text = http_msg_find_field(msg, KEEPER_KEY_FIELD);
+	struct keeper_key key;
+	int value_at = 0;
+
+	if (!l->receiver.keeper || !text ||
+	    sscanf(text, "%" SCNu64 " %" SCNu64 " %n", &key.revision, &key.lease, &value_at) != 2 ||
+	    !value_at || !text[value_at] ||
+	    !br_copy_text(key.value, sizeof(key.value), text + value_at))
+		return;
+	l->receiver.keeper(l->receiver.ctx, &key);
+}
+
 static bool apply_answer(struct keeper_link *l, const struct http_msg *msg)
 {
 	const char *revision = http_msg_find_field(msg, KEEPER_REVISION_FIELD);
@@ -164,6 +179,8 @@
 	bool too_early = msg && msg->status == 404 && l->source_is_relay;
 
 	(void)call_result;
+	if (msg)
+		apply_keeper_key(l, msg);
 	if (msg && msg->status == 200 && apply_answer(l, msg)) {
 		l->outdated_since_us = 0;
 		fetch_if_outdated(l);
@@ -245,6 +262,18 @@
 	fetch_config(l, version);
 }
 
+void keeper_link_ask_keeper(struct keeper_link *l, const struct sockaddr_in *source)
+{
+	struct buf what = {0};
+
+	if (!l->receiver.config || http_call_active(&l->call) || l->retry_timer)
+		return;
+	set_source(l, source);
+	l->source_is_relay = true;
+	buf_append_text(&what, "keeper");
+	send_fetch(l, false, &what);
+}
+
 void keeper_link_notice(struct keeper_link *l, uint64_t version, const struct view_position *view)
 {
 	/* A node that knows no keeper does not know whom to ask either. */
@@ -327,6 +356,10 @@
 
 	buf_printf(out, "HTTP/1.1 %s\r\nContent-Length: %zu\r\n",
 		   found ? "200 OK" : "404 Not Found", body.len);
+	if (*board->keeper_key.value)
+		buf_printf(out, KEEPER_KEY_FIELD ": %" PRIu64 " %" PRIu64 " %s\r\n",
+			   board->keeper_key.revision, board->keeper_key.lease,
+			   board->keeper_key.value);
 	buf_append(out, fields.data, fields.len);
 	buf_append_text(out, "\r\n");
 	buf_append(out, body.data, body.len);
--- a/mesh/keeper_link.h
+++ b/mesh/keeper_link.h
@@ -25,6 +25,12 @@
 /** Header field of the answer: store revision of the configuration in the body. */
 #define KEEPER_REVISION_FIELD "Br-Revision"
 
+/**
+ * Header field of each answer to a fetch: revision, lease and value of the keeper's key, if the
+ * answering node knows it. A fetch of "keeper" asks for nothing else.
+ */
+#define KEEPER_KEY_FIELD "Br-Keeper"
+
 /** State of the keeper, received with each of its answers. */
 struct keeper_state {
 	/** Address of the keeper's peer server. */
@@ -48,6 +54,8 @@
 	int (*config)(void *ctx, const char *text, size_t len, uint64_t revision);
 	/** A view of the members (mesh/view_format.h). */
 	int (*view)(void *ctx, const char *bytes, size_t len);
+	/** Another node's knowledge of the keeper's key, which may be older than the own; or NULL. */
+	void (*keeper)(void *ctx, const struct keeper_key *key);
 	void *ctx;
 };
 
@@ -80,6 +88,12 @@
 void keeper_link_fetch_config(struct keeper_link *l, uint64_t version,
 			      const struct sockaddr_in *source);
 
+/**
+ * Asks a node for the keeper's key, for a node that reaches neither a keeper nor the store. Does
+ * nothing while a fetch is in progress.
+ */
+void keeper_link_ask_keeper(struct keeper_link *l, const struct sockaddr_in *source);
+
 /** Writes the complete HTTP answer to a fetch; fetch is the value of KEEPER_FETCH_FIELD. */
 void keeper_link_answer_fetch(const struct board *board, const char *fetch, struct buf *out);
 
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -187,6 +187,20 @@
 	n->settings_mtime = st.st_mtim;
 }
 
+/* The store cannot tell a node that is cut off from it who the keeper is; another node may. */
+static void ask_for_keeper(struct node *n)
+{
+	struct board *b = &n->board;
+	size_t count = members_count(b->members);
+	const struct member *m;
+
+	if (!b->store_unreachable || !count || board_follows_keeper(b, clock_now_us()))
+		return;
+	m = members_at(b->members, br_rng_below(&b->rng, count));
+	if (!m->self)
+		keeper_link_ask_keeper(n->keeper_link, &m->addr);
+}
+
 static void on_sweep(void *arg)
 {
 	struct node *n = arg;
@@ -196,6 +210,7 @@
 	peer_server_sweep(n->peers);
 	caller_server_sweep(n->callers);
 	store_sweep(n->board.store);
+	ask_for_keeper(n);
 	check_settings_file(n);
 }
 
@@ -252,6 +267,14 @@
 	return view_watch_apply(n->view_watch, bytes, len);
 }
 
+static void on_keeper_key(void *ctx, const struct keeper_key *key)
+{
+	struct node *n = ctx;
+
+	if (key->revision > n->board.keeper_key.revision)
+		election_set_keeper(n->election, key->value, key->lease, key->revision);
+}
+
 static int start(struct node *n)
 {
 	struct board *b = &n->board;
@@ -283,8 +306,9 @@
 	n->election = election_create(b);
 	n->presence = presence_create(b, on_lease_change, n);
 	n->view_watch = view_watch_create(b, n->election, n->presence);
-	keeper_link_set_receiver(n->keeper_link,
-				 &(struct keeper_receiver){on_fetched_config, on_fetched_view, n});
+	keeper_link_set_receiver(
+		n->keeper_link,
+		&(struct keeper_receiver){on_fetched_config, on_fetched_view, on_keeper_key, n});
 	n->peers = peer_server_create(b);
 	n->service = service_server_create(b);
 	n->callers = caller_server_create(b);
--- a/mesh/metrics.c
+++ b/mesh/metrics.c
@@ -1,5 +1,6 @@
 #include "mesh/metrics.h"
 
+#include "common/clock.h"
 #include "mesh/config_watch.h"
 #include "mesh/event_log.h"
 #include "mesh/members.h"
@@ -88,6 +89,8 @@
 		   "briarreel_message_bytes{state=\"unsent\"} %zu\n",
 		   b->messages.held_bytes, b->messages.unsent_bytes);
 	buf_printf(out, "# TYPE briarreel_keeper gauge\nbriarreel_keeper %d\n", b->is_keeper);
+	buf_printf(out, "# TYPE briarreel_follows_keeper gauge\nbriarreel_follows_keeper %d\n",
+		   board_follows_keeper(b, clock_now_us()));
 	buf_printf(out, "# TYPE briarreel_members gauge\nbriarreel_members %zu\n",
 		   members_count(b->members));
 	buf_printf(out,
