Let a node whose target leaves stand for election last

Cause: nodes stand for election by their names alone.

A node whose target leaves waits a second longer.

--- a/mesh/election.c
+++ b/mesh/election.c
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "mesh/members.h"
 #include "mesh/quota.h"
+#include "mesh/target.h"
 #include "net/timer.h"
 #include "platform/store.h"
 
@@ -13,6 +14,8 @@
 #define CALL_TIMEOUT_MS 1000
 /* Delay from one node's attempt to the next one's, so that most find a keeper before they write. */
 #define ATTEMPT_STEP_MS 20
+/* Further delay of a node whose target leaves; the others find that there is no keeper by then. */
+#define LEAVING_DELAY_MS 1000
 /* A node that knows no other node picks its position at random among this many. */
 #define RANDOM_POSITIONS 24
 #define RETRY_MS 300
@@ -192,6 +195,13 @@
 		read_keeper(e);
 }
 
+static bool own_target_leaves(const struct election *e)
+{
+	enum target_phase phase = target_status(e->board->target)->phase;
+
+	return phase == TARGET_LEAVING || phase == TARGET_CLOSED;
+}
+
 static void schedule_attempt(struct election *e, uint64_t delay_ms)
 {
 	struct members *ms = e->board->members;
@@ -202,6 +212,9 @@
 	for (size_t i = 0; i < members_count(ms); i++)
 		if (strcmp(members_at(ms, i)->node, e->board->settings->node) < 0)
 			position++;
+	/* A VM whose target leaves is mostly about to be removed, and each change of keeper costs. */
+	if (own_target_leaves(e))
+		delay_ms += LEAVING_DELAY_MS;
 	if (members_count(ms) <= 1)
 		position = br_rng_below(&e->board->rng, RANDOM_POSITIONS);
 	e->attempt_timer = timer_start(e->board->loop, ATTEMPT_STEP_MS * (position + 1) + delay_ms,
