--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -129,7 +129,7 @@
 			      &reached->incarnation, &reached->changes) == 4;
 }
 
-/* Reads KEEPER_KEY_FIELD, whose value ends with the key's, which holds a space. */
+/* Reads KEEPER_KEY_FIELD. The key's value comes last in it, since it contains a space. */
 static void apply_keeper_key(struct keeper_link *l, const struct http_msg *msg)
 {
 	const char *text = http_msg_find_field(msg, KEEPER_KEY_FIELD);
--- a/net/http_receive.h
+++ b/net/http_receive.h
@@ -25,7 +25,7 @@
 	size_t unsent_to_nodes_max_bytes;
 };
 
-/** Called for the events of a receiver; each returns false if nothing further is to be parsed. */
+/** Events of a receiver; begin and message return false if nothing further is to be parsed. */
 struct http_receiver_ops {
 	/** The first byte of a message has arrived. */
 	bool (*begin)(void *ctx);
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -64,7 +64,7 @@
 /* Mean time between faults that seeds did not have from the start. */
 #define LATER_FAULT_GAP_MS 5000
 
-/* A series of freezes lasts longer than the window of a rate. */
+/* A series of freezes lasts about as long as the window of a rate. */
 #define FREEZE_MIN_US (3 * BR_US_PER_S)
 #define FREEZE_SPREAD_US 4000000
 #define FREEZE_GAP_MS 8000
