--- a/net/http_receive.c
+++ b/net/http_receive.c
@@ -172,6 +172,24 @@
 	return 0;
 }
 
+/* Tests whether the parser ends the body of an answer where the grammar does. */
+static bool framing_agrees(const struct http_receiver *r, const http_parser *p)
+{
+	bool is_chunked = p->flags & F_CHUNKED;
+
+	switch (r->grammar.framing) {
+	case ANSWER_NO_BODY:
+		return true;
+	case ANSWER_LENGTH:
+		return !is_chunked && p->content_length == r->grammar.length_bytes;
+	case ANSWER_CHUNKED:
+		return is_chunked;
+	case ANSWER_UNTIL_CLOSE:
+		return !is_chunked && p->content_length == UINT64_MAX;
+	}
+	return false;
+}
+
 static int on_headers(http_parser *p)
 {
 	struct http_receiver *r = p->data;
@@ -182,6 +200,8 @@
 	r->msg->method = (uint8_t)p->method;
 	r->msg->status = (uint16_t)p->status_code;
 	if (!r->is_server) {
+		if (!framing_agrees(r, p))
+			return set_error(r, 400);
 		/* A nonzero result makes the parser skip the body. */
 		r->msg->no_body = r->no_body && p->status_code >= 200;
 		return r->msg->no_body ? 1 : announce_body(r, p);
@@ -239,6 +259,7 @@
 	*r = (struct http_receiver){
 		.ops = ops, .ctx = ctx, .limits = *limits, .is_server = is_server};
 	http_parser_init(&r->parser, is_server ? HTTP_REQUEST : HTTP_RESPONSE);
+	answer_grammar_init(&r->grammar);
 	r->parser.data = r;
 }
 
@@ -250,7 +271,7 @@
 	r->begun_us = 0;
 }
 
-uint16_t http_receiver_add(struct http_receiver *r, const char *bytes, size_t len)
+static uint16_t parse(struct http_receiver *r, const char *bytes, size_t len)
 {
 	size_t used = http_parser_execute(&r->parser, &parser_settings, bytes, len);
 
@@ -259,6 +280,29 @@
 	return HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || used != len ? 400 : 0;
 }
 
+/* Parses answers one at a time, each only as far as it is valid. */
+static uint16_t add_answers(struct http_receiver *r, const char *bytes, size_t len)
+{
+	while (len) {
+		enum answer_verdict verdict;
+		size_t n = answer_grammar_check(&r->grammar, bytes, len, r->no_body, &verdict);
+		uint16_t status = n ? parse(r, bytes, n) : 0;
+
+		if (status)
+			return status;
+		if (verdict == ANSWER_INVALID)
+			return 400;
+		bytes += n;
+		len -= n;
+	}
+	return 0;
+}
+
+uint16_t http_receiver_add(struct http_receiver *r, const char *bytes, size_t len)
+{
+	return r->is_server ? parse(r, bytes, len) : add_answers(r, bytes, len);
+}
+
 void http_receiver_end(struct http_receiver *r)
 {
 	if (!r->is_server && r->msg)
--- a/net/http_receive.h
+++ b/net/http_receive.h
@@ -6,6 +6,7 @@
 #ifndef NET_HTTP_RECEIVE_H
 #define NET_HTTP_RECEIVE_H
 
+#include "net/answer_grammar.h"
 #include "net/http_msg.h"
 
 #include <http_parser.h>
@@ -41,6 +42,8 @@
 	void *ctx;
 	struct http_limits limits;
 	http_parser parser;
+	/** Answers only: checks what the parser is given. */
+	struct answer_grammar grammar;
 	/** Receives requests, not answers. */
 	bool is_server;
 	/** The message being received, or NULL. */
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -122,6 +122,48 @@
 	return false;
 }
 
+/** An answer that a path selects; its text is a format for the fields of a sound one. */
+struct odd_answer {
+	const char *suffix, *format;
+};
+
+static const struct odd_answer odd_answers[] = {
+	{"/status-000", "HTTP/1.1 000 OK\r\n%sContent-Length: 2\r\n\r\nok"},
+	{"/blank-in-name", "HTTP/1.1 200 OK\r\n%sX Field: v\r\nContent-Length: 2\r\n\r\nok"},
+	{"/control-in-name", "HTTP/1.1 200 OK\r\n%sX\x01"
+			     "Field: v\r\nContent-Length: 2\r\n\r\nok"},
+	{"/control-before-name", "HTTP/1.1 200 OK\r\n%s\rContent-Length: 2\r\n\r\nok"},
+	{"/control-in-value", "HTTP/1.1 200 OK\r\n%sX-Field: \x01\r\nContent-Length: 2\r\n\r\nok"},
+	{"/cut-head", "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n"},
+	{"/long-chunk", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+			"2\r\nokay0\r\n\r\n"},
+	{"/odd-trailer", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+			 "2\r\nok\r\n0\r\nX T: v\r\n\r\n"},
+	{"/broken-refusal", "HTTP/1.1 503 Busy\r\n%sX-Not-Executed: 1\r\nX\tField: v\r\n"
+			    "Content-Length: 0\r\n\r\n"},
+	{"/refusal-000", "HTTP/1.1 000 Busy\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+	{"/trailer", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+		     "1;a=b\r\no\r\n1\r\nk\r\n0\r\nX-T: v\r\n\r\n"},
+	{"/status-299", "HTTP/1.1 299 \r\n%sContent-Length: 2\r\n\r\nok"},
+};
+
+/* Sends the answer that the path selects; false if it selects none. */
+static bool send_odd_answer(int fd, const char *path, const char *fields)
+{
+	char text[2048];
+
+	for (size_t i = 0; i < sizeof(odd_answers) / sizeof(odd_answers[0]); i++) {
+		const struct odd_answer *a = &odd_answers[i];
+
+		if (!has_suffix(path, a->suffix))
+			continue;
+		snprintf(text, sizeof(text), a->format, fields);
+		http_send(fd, text, strlen(text));
+		return true;
+	}
+	return false;
+}
+
 /* The end of the path selects the target's behaviour. */
 static bool handle_target(int fd, const struct http_req *req)
 {
@@ -157,6 +199,8 @@
 		return send_endlessly(fd, "HTTP/1.1 200 OK\r\n\r\n");
 	if (has_suffix(req->target, "/endless-bytes"))
 		return send_endlessly(fd, "x");
+	if (send_odd_answer(fd, req->target, fields))
+		return false;
 	if (has_suffix(req->target, "/long"))
 		return send_long_answer(fd, fields);
 	if (has_suffix(req->target, "/error") || has_suffix(req->target, "/error-or-shed"))
--- a/tests/unit/fake_server.h
+++ b/tests/unit/fake_server.h
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <signal.h>
+#include <string.h>
 
 #define RUN_MAX_MS 5000
 
@@ -18,6 +19,8 @@
 	struct sockaddr_in addr;
 	/** Sent first for each request; then endless is sent until the peer closes. */
 	const char *answer, *endless;
+	/** Length of the answer if it may hold NUL bytes, else 0. */
+	size_t answer_len;
 	char target[512];
 	uint32_t n_requests, n_accepted, n_open;
 	struct timer *timer;
@@ -30,14 +33,19 @@
 	bool ended;
 };
 
-static void send_text(struct http_conn *c, const char *text)
+static void send_bytes(struct http_conn *c, const char *bytes, size_t len)
 {
 	struct buf b = {0};
 
-	buf_append_text(&b, text);
+	buf_append(&b, bytes, len);
 	http_conn_send(c, &b);
 }
 
+static void send_text(struct http_conn *c, const char *text)
+{
+	send_bytes(c, text, strlen(text));
+}
+
 static void on_request(struct http_conn *c, struct http_msg *m)
 {
 	struct server *s = http_conn_owner(c);
@@ -46,7 +54,7 @@
 	http_msg_destroy(m);
 	s->n_requests++;
 	s->last = c;
-	send_text(c, s->answer);
+	send_bytes(c, s->answer, s->answer_len ? s->answer_len : strlen(s->answer));
 	if (s->closes)
 		http_conn_finish(c);
 	if (s->endless)
--- a/tests/unit/mesh_answers.c
+++ b/tests/unit/mesh_answers.c
@@ -4,6 +4,7 @@
  */
 #include "common/clock.h"
 #include "net/conn_pool.h"
+#include "tests/unit/answer_cases.h"
 #include "tests/unit/fake_server.h"
 
 #include <stdio.h>
@@ -13,6 +14,7 @@
 	struct http_call call;
 	const char *id;
 	enum http_call_result result;
+	uint16_t status;
 	char body[64];
 	bool ended;
 };
@@ -33,6 +35,7 @@
 	(void)err;
 	c->result = result;
 	c->body[0] = '\0';
+	c->status = m ? m->status : 0;
 	if (m)
 		snprintf(c->body, sizeof(c->body), "%.*s", (int)m->body.len,
 			 m->body.len ? m->body.data : "");
@@ -51,16 +54,26 @@
 	return conn_pool_create(s->loop, &cfg);
 }
 
-static void send_call(struct conn_pool *pool, struct id_call *c, const char *id)
+static void prepare_call(struct id_call *c, const char *id)
 {
-	struct buf b = {0};
-
 	*c = (struct id_call){.call = {.done = on_call_done, .match = match_id, .timeout_ms = 400},
 			      .id = id};
-	buf_printf(&b, "GET /%s HTTP/1.1\r\nHost: t\r\n\r\n", id);
+}
+
+static void start_call(struct conn_pool *pool, struct id_call *c)
+{
+	struct buf b = {0};
+
+	buf_printf(&b, "%s /%s HTTP/1.1\r\nHost: t\r\n\r\n", c->call.head ? "HEAD" : "GET", c->id);
 	conn_pool_send(pool, &c->call, &b);
 }
 
+static void send_call(struct conn_pool *pool, struct id_call *c, const char *id)
+{
+	prepare_call(c, id);
+	start_call(pool, c);
+}
+
 static void run_call(struct server *s, struct conn_pool *pool, struct id_call *c, const char *id)
 {
 	send_call(pool, c, id);
@@ -210,3 +223,36 @@
 
 	break_off_everywhere(answer, strlen("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n"));
 }
+
+/* Sends one case and returns whether the call ended as it should. */
+static bool ends_as_expected(const struct answer_case *a)
+{
+	struct server s = {.answer = a->bytes, .answer_len = a->len, .closes = true};
+	struct conn_pool *pool;
+	struct id_call c;
+	bool expected;
+
+	start_server(&s);
+	pool = create_pool(&s);
+	prepare_call(&c, "a");
+	c.call.head = a->head;
+	start_call(pool, &c);
+	run_until(&s, &c.ended);
+	expected = (c.result == HTTP_CALL_ANSWERED) == (a->status != 0) && c.status == a->status &&
+		   (!a->status || !strcmp(c.body, a->body));
+	if (!expected)
+		fprintf(stderr, "%s: result %d, status %u, body \"%s\"\n", a->name, c.result,
+			c.status, c.body);
+	conn_pool_destroy(pool);
+	return expected;
+}
+
+/* Only what the grammar of HTTP allows is an answer, and all of that is. */
+Test(mesh_answers, only_valid_answers_are_taken)
+{
+	uint32_t n_unexpected = 0;
+
+	for (size_t i = 0; i < N_ANSWER_CASES; i++)
+		n_unexpected += !ends_as_expected(&answer_cases[i]);
+	cr_assert_eq(n_unexpected, 0, "%u of %zu cases", n_unexpected, N_ANSWER_CASES);
+}
--- a/tests/unit/mesh_odd_input.c
+++ b/tests/unit/mesh_odd_input.c
@@ -235,6 +235,36 @@
 	store_destroy(store);
 }
 
+#define ODD_ANSWER(line, fields, body) line "\r\n" fields "Content-Length: 2\r\n\r\n" body
+
+/*
+ * Guards against bytes that are no answer and are believed: a lease that is given up because such a
+ * status says that it has ended, or a read whose items are taken.
+ */
+Test(mesh_odd_input, invalid_answer_of_the_store_tells_nothing)
+{
+	static const char *const answers[] = {
+		ODD_ANSWER("HTTP/1.1 404 Not Found", "X-Field: \x01\r\n", "{}"),
+		ODD_ANSWER("HTTP/1.1 0404 Not Found", "", "{}"),
+		ODD_ANSWER("HTTP/1.1 412 Conflict\x01", "", "{}"),
+		ODD_ANSWER("HTTP/1.1 503 Busy", "\r", "{}"),
+		ODD_ANSWER("HTTP/2.0 200 OK", "", "{}"),
+	};
+
+	for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+		struct server s = {.answer = answers[i], .closes = true};
+		struct page page = {0};
+		struct store *store;
+
+		start_server(&s);
+		store = store_create(s.loop, &s.addr);
+		store_renew_lease(store, 7, 1000, on_page, &page);
+		run_until(&s, &page.done);
+		cr_expect_eq(page.result, STORE_UNKNOWN, "%s", answers[i]);
+		store_destroy(store);
+	}
+}
+
 /* --- Bytes without end --- */
 
 #define CALLS 24
