--- a/net/http_receive.c
+++ b/net/http_receive.c
@@ -153,16 +153,10 @@
 		r->limits.budget->kept_for = NULL;
 }
 
-static bool has_no_body(uint16_t status)
-{
-	return status < 200 || status == 204 || status == 304;
-}
-
 /* Reserves room for an announced body. Without it the body waits at the server. */
 static int announce_body(struct http_receiver *r, const http_parser *p)
 {
-	if (has_no_body(r->msg->status) || (p->flags & F_CHUNKED) ||
-	    p->content_length == UINT64_MAX)
+	if ((p->flags & F_CHUNKED) || p->content_length == UINT64_MAX)
 		return 0;
 	if (p->content_length > r->limits.body_bytes)
 		return set_error(r, 413);
@@ -204,7 +198,7 @@
 			return set_error(r, 400);
 		/* A nonzero result makes the parser skip the body. */
 		r->msg->no_body = r->no_body && p->status_code >= 200;
-		return r->msg->no_body ? 1 : announce_body(r, p);
+		return r->grammar.framing == ANSWER_NO_BODY ? 1 : announce_body(r, p);
 	}
 	if (p->upgrade || p->http_major != 1)
 		return set_error(r, 400);
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -144,6 +144,7 @@
 	{"/refusal-000", "HTTP/1.1 000 Busy\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
 	{"/trailer", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
 		     "1;a=b\r\no\r\n1\r\nk\r\n0\r\nX-T: v\r\n\r\n"},
+	{"/not-modified", "HTTP/1.1 304 Not Modified\r\n%sContent-Length: 1234\r\n\r\n"},
 	{"/status-299", "HTTP/1.1 299 \r\n%sContent-Length: 2\r\n\r\nok"},
 };
 
