--- a/net/http_receive.c
+++ b/net/http_receive.c
@@ -53,6 +53,28 @@
 	return append_text(p->data, at, len);
 }
 
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+/* Blanks behind a value are not part of it (RFC 9110, 5.5). */
+static void trim_value(struct http_msg *m)
+{
+	size_t start = m->fields[m->n_fields - 1].value;
+
+	while (m->text.len > start && is_blank(m->text.data[m->text.len - 1]))
+		m->text.len--;
+}
+
+/* Terminates the request target or a value. */
+static void end_text(struct http_receiver *r)
+{
+	if (r->value_open)
+		trim_value(r->msg);
+	buf_append(&r->msg->text, "", 1);
+}
+
 static int on_field(http_parser *p, const char *at, size_t len)
 {
 	struct http_receiver *r = p->data;
@@ -63,8 +85,7 @@
 	if (memchr(at, ' ', len))
 		return set_error(r, 400);
 	if (r->value_open || m->n_fields == 0) {
-		/* Terminates the previous value, or the request target. */
-		buf_append(&m->text, "", 1);
+		end_text(r);
 		if (m->n_fields == m->cap_fields) {
 			m->cap_fields = m->cap_fields ? 2 * m->cap_fields : 8;
 			m->fields = realloc(m->fields, m->cap_fields * sizeof(*m->fields));
@@ -189,7 +210,7 @@
 	struct http_receiver *r = p->data;
 	const char *expect;
 
-	buf_append(&r->msg->text, "", 1);
+	end_text(r);
 	r->headers_done = true;
 	r->msg->method = (uint8_t)p->method;
 	r->msg->status = (uint16_t)p->status_code;
--- a/tests/unit/answer_cases.h
+++ b/tests/unit/answer_cases.h
@@ -143,6 +143,8 @@
 	VALID("blank value", WITH_FIELD("X-Field: \t \r\n"), 200, "ok"),
 	VALID("value with tab and bytes beyond ASCII", WITH_FIELD("X-Field: \xc3\xa4\t\xff\r\n"),
 	      200, "ok"),
+	VALID("blanks around the id",
+	      "HTTP/1.1 200 OK\r\nX-Id: \t a \t\r\nContent-Length: 2\r\n\r\nok", 200, "ok"),
 	VALID("no blank before the id", "HTTP/1.1 200 OK\r\nX-Id:a\r\nContent-Length:2\r\n\r\nok",
 	      200, "ok"),
 	VALID("fields that an answer need not have",
