--- a/net/http_msg.h
+++ b/net/http_msg.h
@@ -23,7 +23,10 @@
 	uint16_t status;
 	/** An answer to HEAD: it has no body, whatever its Content-Length. */
 	bool no_body;
-	/** The connection may carry another message after this one. */
+	/**
+	 * The connection may carry another message after this one. Behind an answer that bytes
+	 * followed it may not: they belong to no request, and could be taken for the next answer.
+	 */
 	bool keep_alive;
 	/** Request target, field names and values, each NUL-terminated. */
 	struct buf text;
--- a/net/http_receive.c
+++ b/net/http_receive.c
@@ -249,7 +249,7 @@
 	struct http_receiver *r = p->data;
 	struct http_msg *m = r->msg;
 
-	m->keep_alive = http_should_keep_alive(p) != 0;
+	m->keep_alive = http_should_keep_alive(p) && !r->more_follows;
 	r->msg = NULL;
 	r->begun_us = 0;
 	r->awaits_answer = false;
@@ -301,8 +301,10 @@
 	while (len) {
 		enum answer_verdict verdict;
 		size_t n = answer_grammar_check(&r->grammar, bytes, len, r->no_body, &verdict);
-		uint16_t status = n ? parse(r, bytes, n) : 0;
+		uint16_t status;
 
+		r->more_follows = verdict == ANSWER_COMPLETE && n < len;
+		status = n ? parse(r, bytes, n) : 0;
 		if (status)
 			return status;
 		if (verdict == ANSWER_INVALID)
--- a/net/http_receive.h
+++ b/net/http_receive.h
@@ -55,6 +55,8 @@
 	bool value_open, headers_done;
 	/** Length of the body being received, as announced; UINT64_MAX if it is unknown. */
 	uint64_t announced_bytes;
+	/** Answers only: bytes have arrived behind the message that is being completed. */
+	bool more_follows;
 	/** Answers only, set by the connection: the next one is to HEAD, which has no body. */
 	bool no_body;
 	/** Answers only, set by the connection: a request has been sent, and no answer came since. */
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -283,3 +283,28 @@
 	http_msg_destroy(second.msg);
 	target_destroy(f.target);
 }
+
+/*
+ * Guards against bytes behind an answer that arrive with it: the next job is sent on the connection
+ * before they are read, and a refusal among them would be taken for the answer to that job.
+ */
+Test(mesh_target, refusal_behind_an_answer_is_not_for_the_next_job)
+{
+	struct fixture f = {0};
+	struct ended_job first, second;
+
+	start(&f);
+	f.server.answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: x\r\n"
+			  "Content-Length: 0\r\n\r\n" REFUSAL;
+	start_job(f.target, &first, "a", 1000);
+	start_job(f.target, &second, "b", 1000);
+	run_until(&f.server, &first.ended);
+	cr_assert_eq(first.result, JOB_ANSWERED);
+	f.server.answer = ANSWER_B;
+	run_until(&f.server, &second.ended);
+	cr_assert_eq(second.result, JOB_ANSWERED);
+	cr_assert_eq(f.server.n_requests, 2);
+	http_msg_destroy(first.msg);
+	http_msg_destroy(second.msg);
+	target_destroy(f.target);
+}
