--- a/common/http_client.c
+++ b/common/http_client.c
@@ -1,37 +1,28 @@
 #include "common/http_client.h"
 
 #include "briarreel/error.h"
+#include "common/client_conn.h"
 #include "common/clock.h"
 
-#include <arpa/inet.h>
-#include <civetweb.h>
 #include <errno.h>
-#include <fcntl.h>
-#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #define PEER_BUCKETS 1024
-/* Limit of the request line and headers of a request. */
+/* Limit of the request line and headers of a request, and of the headers of a response. */
 #define MAX_HEADER_BYTES 16384
-/* Initial buffer size for a chunked response body; doubled as needed. */
-#define INITIAL_BODY_BYTES 65536
 
 struct idle_conn {
-	struct mg_connection *conn;
+	struct client_conn *conn;
 	uint64_t idle_since_us;
 	struct idle_conn *next;
 };
 
 struct peer {
 	char address[BR_NODE_ID_BYTES];
-	/** Time of the last response, or 0; open_conn() probes a peer without a recent response. */
-	uint64_t last_answer_us;
 	uint32_t n_idle;
 	struct idle_conn *idle;
 	struct peer *next;
@@ -54,6 +45,17 @@
 	return pool;
 }
 
+static void close_list(struct idle_conn *list)
+{
+	while (list) {
+		struct idle_conn *c = list;
+
+		list = c->next;
+		client_conn_close(c->conn);
+		free(c);
+	}
+}
+
 void http_pool_destroy(struct http_pool *pool)
 {
 	if (!pool)
@@ -63,13 +65,7 @@
 			struct peer *p = pool->peers[i];
 
 			pool->peers[i] = p->next;
-			while (p->idle) {
-				struct idle_conn *c = p->idle;
-
-				p->idle = c->next;
-				mg_close_connection(c->conn);
-				free(c);
-			}
+			close_list(p->idle);
 			free(p);
 		}
 	}
@@ -95,44 +91,43 @@
 	return p;
 }
 
+/* Tests whether an idle connection can carry a request: it has not expired. */
+static bool is_usable(const struct http_pool *pool, const struct idle_conn *c, uint64_t now_us)
+{
+	uint64_t max_idle_us = (uint64_t)pool->cfg.max_idle_ms * BR_US_PER_MS;
+
+	return now_us - c->idle_since_us < max_idle_us;
+}
+
 /*
- * Removes the most recently used idle connection to a peer that has not expired from the pool and
- * returns it; NULL if there is none. Closes the expired connections found before it.
- * *recently_answered: the peer has answered within the last second.
+ * Removes the most recently used idle connection to a peer that is usable from the pool and returns
+ * it; NULL if there is none. Closes the others found before it.
  */
-static struct mg_connection *take_idle(struct http_pool *pool, const char *address,
-				       bool *recently_answered)
+static struct client_conn *take_idle(struct http_pool *pool, const char *address)
 {
-	uint64_t now_us = clock_now_us();
-	uint64_t max_idle_us = (uint64_t)pool->cfg.max_idle_ms * BR_US_PER_MS;
-	struct idle_conn *expired = NULL;
-	struct mg_connection *conn = NULL;
+	struct idle_conn *unusable = NULL;
+	struct client_conn *conn = NULL;
+	uint64_t now_us;
 	struct peer *p;
 
 	pthread_mutex_lock(&pool->lock);
+	now_us = clock_now_us();
 	p = find_or_add_peer(pool, address);
-	*recently_answered = p && p->last_answer_us && now_us - p->last_answer_us < BR_US_PER_S;
 	while (p && p->idle && !conn) {
 		struct idle_conn *c = p->idle;
 
 		p->idle = c->next;
 		p->n_idle--;
-		if (now_us - c->idle_since_us < max_idle_us) {
+		if (is_usable(pool, c, now_us)) {
 			conn = c->conn;
 			free(c);
 		} else {
-			c->next = expired;
-			expired = c;
+			c->next = unusable;
+			unusable = c;
 		}
 	}
 	pthread_mutex_unlock(&pool->lock);
-	while (expired) {
-		struct idle_conn *c = expired;
-
-		expired = c->next;
-		mg_close_connection(c->conn);
-		free(c);
-	}
+	close_list(unusable);
 	return conn;
 }
 
@@ -151,31 +146,22 @@
 		list = p->idle;
 		p->idle = NULL;
 		p->n_idle = 0;
-		p->last_answer_us = 0;
 	}
 	pthread_mutex_unlock(&pool->lock);
-	while (list) {
-		struct idle_conn *c = list;
-
-		list = c->next;
-		mg_close_connection(c->conn);
-		free(c);
-	}
+	close_list(list);
 }
 
 /* Returns a connection to the pool; closes it if the peer has max_idle_per_peer idle ones. */
-static void put_idle(struct http_pool *pool, const char *address, struct mg_connection *conn)
+static void put_idle(struct http_pool *pool, const char *address, struct client_conn *conn)
 {
 	struct idle_conn *c = malloc(sizeof(*c));
 	struct peer *p;
 
 	pthread_mutex_lock(&pool->lock);
 	p = find_or_add_peer(pool, address);
-	if (p)
-		p->last_answer_us = clock_now_us();
 	if (c && p && p->n_idle < pool->cfg.max_idle_per_peer) {
 		c->conn = conn;
-		c->idle_since_us = p->last_answer_us;
+		c->idle_since_us = clock_now_us();
 		c->next = p->idle;
 		p->idle = c;
 		p->n_idle++;
@@ -185,79 +171,22 @@
 	pthread_mutex_unlock(&pool->lock);
 	free(c);
 	if (conn)
-		mg_close_connection(conn);
-}
-
-static int split_address(const char *address, char *host, size_t host_bytes, int *port)
-{
-	const char *colon = strrchr(address, ':');
-	char *end;
-	long n;
-
-	if (!colon || (size_t)(colon - address) >= host_bytes)
-		return -EINVAL;
-	memcpy(host, address, (size_t)(colon - address));
-	host[colon - address] = '\0';
-	n = strtol(colon + 1, &end, 10);
-	if (*end || n <= 0 || n > 65535)
-		return -EINVAL;
-	*port = (int)n;
-	return 0;
+		client_conn_close(conn);
 }
 
-/*
- * CivetWeb waits up to ten seconds for a connection to be established. A peer that has not answered
- * recently is therefore tried first with a plain connect that obeys the pool's connect timeout.
- */
-static int probe_connect(const char *host, int port, uint32_t timeout_ms)
+static struct client_conn *open_conn(struct http_pool *pool, const char *address,
+				     struct br_error *err)
 {
-	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
-	struct pollfd pfd = {.events = POLLOUT};
-	socklen_t len = sizeof(int);
-	int so_error = 0;
-	int ret = 0;
-
-	if (inet_pton(AF_INET, host, &sa.sin_addr) != 1)
-		return -EINVAL;
-	pfd.fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (pfd.fd < 0)
-		return -errno;
-	if (connect(pfd.fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 && errno != EINPROGRESS)
-		ret = -errno;
-	else if (poll(&pfd, 1, (int)timeout_ms) != 1)
-		ret = -ETIMEDOUT;
-	else if (getsockopt(pfd.fd, SOL_SOCKET, SO_ERROR, &so_error, &len) < 0 || so_error)
-		ret = so_error ? -so_error : -EIO;
-	close(pfd.fd);
-	return ret;
-}
-
-static struct mg_connection *open_conn(struct http_pool *pool, const char *address, bool probe,
-				       struct br_error *err)
-{
-	char error_text[128] = "";
-	char host[BR_NODE_ID_BYTES];
-	struct mg_connection *conn;
-	int port;
-	int ret;
+	const struct client_conn_limits limits = {.header_bytes = MAX_HEADER_BYTES,
+						  .body_bytes = pool->cfg.max_body_bytes};
+	struct client_conn *conn = NULL;
+	int ret = client_conn_open(address, pool->cfg.connect_timeout_ms, &limits, &conn);
 
-	ret = split_address(address, host, sizeof(host), &port);
-	if (ret) {
+	if (ret == -EINVAL)
 		br_error_set(err, ret, BR_STEP_CONNECT, address, "address is not ip:port");
-		return NULL;
-	}
-	if (probe) {
-		ret = probe_connect(host, port, pool->cfg.connect_timeout_ms);
-		if (ret) {
-			br_error_set(err, ret, BR_STEP_CONNECT, address, "cannot connect: %s",
-				     strerror(-ret));
-			return NULL;
-		}
-	}
-	conn = mg_connect_client(host, port, 0, error_text, sizeof(error_text));
-	if (!conn)
-		br_error_set(err, -ECONNREFUSED, BR_STEP_CONNECT, address, "cannot connect: %s",
-			     error_text);
+	else if (ret)
+		br_error_set(err, ret, BR_STEP_CONNECT, address, "cannot connect: %s",
+			     strerror(-ret));
 	return conn;
 }
 
@@ -270,14 +199,14 @@
 	return address;
 }
 
-static int send_request(struct mg_connection *conn, const char *address,
+static int send_request(struct client_conn *conn, const char *address,
 			const struct http_request *req)
 {
 	size_t cap = MAX_HEADER_BYTES + req->body_len;
 	char *buf = malloc(cap);
 	size_t len;
 	int n;
-	int ret = 0;
+	int ret;
 
 	if (!buf)
 		return -ENOMEM;
@@ -300,98 +229,34 @@
 	if (req->body_len)
 		memcpy(buf + len, req->body, req->body_len);
 	len += req->body_len;
-	/* One write, so that the body does not wait for the acknowledgement of the headers. */
-	if (mg_write(conn, buf, len) != (int)len)
-		ret = -EPIPE;
+	ret = client_conn_send(conn, buf, len, !strcmp(req->method, "HEAD"));
 	free(buf);
 	return ret;
 }
 
-static int copy_headers(const struct mg_response_info *ri, struct http_response *resp)
-{
-	size_t bytes = 0;
-	char *p;
-
-	if (ri->num_headers > HTTP_MAX_HEADERS)
-		return -EMSGSIZE;
-	for (int i = 0; i < ri->num_headers; i++)
-		bytes += strlen(ri->http_headers[i].name) + strlen(ri->http_headers[i].value) + 2;
-	p = malloc(bytes + 1);
-	if (!p)
-		return -ENOMEM;
-	resp->header_text = p;
-	for (int i = 0; i < ri->num_headers; i++) {
-		struct http_header *h = &resp->headers[resp->n_headers++];
-
-		h->name = p;
-		p = stpcpy(p, ri->http_headers[i].name) + 1;
-		h->value = p;
-		p = stpcpy(p, ri->http_headers[i].value) + 1;
-	}
-	return 0;
-}
-
-static int read_body(struct mg_connection *conn, long long content_length, bool chunked,
-		     size_t max_bytes, struct http_response *resp)
-{
-	size_t cap = chunked ? INITIAL_BODY_BYTES : (size_t)content_length;
-
-	if (cap > max_bytes)
-		return -EMSGSIZE;
-	resp->body = malloc(cap + 1);
-	if (!resp->body)
-		return -ENOMEM;
-	while (chunked || resp->body_len < (size_t)content_length) {
-		int n;
-
-		if (resp->body_len == cap) {
-			char *grown;
-
-			cap *= 2;
-			grown = cap > max_bytes ? NULL : realloc(resp->body, cap + 1);
-			if (!grown)
-				return -EMSGSIZE;
-			resp->body = grown;
-		}
-		n = mg_read(conn, resp->body + resp->body_len, cap - resp->body_len);
-		if (n < 0)
-			return -EBADMSG;
-		if (n == 0)
-			break;
-		resp->body_len += (size_t)n;
-	}
-	resp->body[resp->body_len] = '\0';
-	if (!chunked && resp->body_len != (size_t)content_length)
-		return -EBADMSG;
-	return 0;
-}
-
 /* Waits for the response's headers and calls on_silence every silence_ms, if that is set. */
-static int await_header(struct mg_connection *conn, const char *address,
-			const struct http_wait *wait, struct br_error *err)
+static int await_header(struct client_conn *conn, const char *address, const struct http_wait *wait,
+			struct br_error *err)
 {
 	uint64_t end_us = clock_now_us() + (uint64_t)wait->timeout_ms * BR_US_PER_MS;
-	char error_text[128] = "";
 
 	for (;;) {
-		uint64_t step_start_us = clock_now_us();
-		uint64_t remaining_ms =
-			step_start_us < end_us ? (end_us - step_start_us) / BR_US_PER_MS : 0;
-		uint64_t step_ms = remaining_ms;
-
-		if (wait->silence_ms && wait->silence_ms < remaining_ms)
-			step_ms = wait->silence_ms;
-		if (mg_get_response(conn, error_text, sizeof(error_text), (int)step_ms) >= 0)
-			return 0;
-		/*
-		 * CivetWeb reports a timeout and a closed connection alike. A return more than 2 ms
-		 * before the timeout means that the connection was closed.
-		 */
-		if (clock_now_us() + 2 * BR_US_PER_MS < step_start_us + step_ms * BR_US_PER_MS)
-			return br_error_set(err, -ECONNRESET, BR_STEP_RECEIVE, address,
-					    "connection closed: %s", error_text);
-		if (clock_now_us() + 2 * BR_US_PER_MS >= end_us)
-			return br_error_set(err, -ETIMEDOUT, BR_STEP_RECEIVE, address,
+		uint64_t silent_us = clock_now_us() + (uint64_t)wait->silence_ms * BR_US_PER_MS;
+		bool checks_silence = wait->silence_ms && silent_us < end_us;
+		int ret = client_conn_receive_head(conn, checks_silence ? silent_us : end_us);
+
+		if (ret == -ECONNRESET)
+			return br_error_set(err, ret, BR_STEP_RECEIVE, address,
+					    "connection closed, or no valid response");
+		if (ret == -EMSGSIZE)
+			return br_error_set(err, ret, BR_STEP_RECEIVE, address,
+					    "response headers or body are too large");
+		if (ret != -ETIMEDOUT)
+			return ret ? br_error_set(err, ret, BR_STEP_RECEIVE, address,
+						  "response body is invalid")
+				   : 0;
+		if (!checks_silence)
+			return br_error_set(err, ret, BR_STEP_RECEIVE, address,
 					    "no response within %u ms", wait->timeout_ms);
 		if (!wait->on_silence || !wait->on_silence(wait->arg))
 			return br_error_set(err, -EREMOTEIO, BR_STEP_RECEIVE, address,
@@ -399,41 +264,49 @@
 	}
 }
 
-static int receive_response(struct http_pool *pool, struct mg_connection *conn, const char *address,
-			    const char *method, const struct http_wait *wait,
-			    struct http_response *resp, bool *reusable, struct br_error *err)
+/* Moves the headers and the body of an answer to resp. Returns false if there are too many headers. */
+static bool take_message(struct http_msg *m, bool has_body, struct http_response *resp)
 {
-	const struct mg_response_info *ri;
-	const char *transfer_encoding;
-	const char *connection;
-	bool chunked;
-	bool bodyless;
-	int ret;
+	if (m->n_fields > HTTP_MAX_HEADERS)
+		return false;
+	resp->status = m->status;
+	resp->n_headers = m->n_fields;
+	for (uint32_t i = 0; i < m->n_fields; i++)
+		resp->headers[i] = (struct http_header){.name = http_msg_field_name(m, i),
+							.value = http_msg_field_value(m, i)};
+	resp->header_text = m->text.data;
+	m->text = (struct buf){0};
+	if (!has_body)
+		return true;
+	resp->body_len = m->body.len;
+	buf_cstr(&m->body);
+	resp->body = m->body.data;
+	m->body = (struct buf){0};
+	return true;
+}
+
+static int receive_response(struct client_conn *conn, const char *address,
+			    const struct http_wait *wait, struct http_response *resp,
+			    bool *reusable, struct br_error *err)
+{
+	struct http_msg *m = NULL;
+	int ret = await_header(conn, address, wait, err);
 
-	ret = await_header(conn, address, wait, err);
 	if (ret)
 		return ret;
-	ri = mg_get_response_info(conn);
-	resp->status = ri->status_code;
-	ret = copy_headers(ri, resp);
-	if (ret)
-		return br_error_set(err, ret, BR_STEP_RECEIVE, address,
-				    "too many response headers, or out of memory");
-	transfer_encoding = http_response_header(resp, "Transfer-Encoding");
-	connection = http_response_header(resp, "Connection");
-	chunked = transfer_encoding && !strcasecmp(transfer_encoding, "chunked");
-	bodyless = !strcmp(method, "HEAD") || resp->status == 204 || resp->status == 304;
-	*reusable = !connection || strcasecmp(connection, "close") != 0;
-	if (bodyless)
-		return 0;
-	if (!chunked && ri->content_length < 0)
+	if (client_conn_framing(conn) == ANSWER_UNTIL_CLOSE)
 		return br_error_set(err, -EBADMSG, BR_STEP_RECEIVE, address,
 				    "response has no length, so it may be truncated");
-	ret = read_body(conn, ri->content_length, chunked, pool->cfg.max_body_bytes, resp);
+	ret = client_conn_receive_rest(conn, &m);
 	if (ret)
 		return br_error_set(err, ret, BR_STEP_RECEIVE, address,
-				    "response body is truncated or too large");
-	return 0;
+				    "response body is truncated, invalid or too large");
+	*reusable = m->keep_alive;
+	if (!take_message(m, client_conn_framing(conn) != ANSWER_NO_BODY, resp))
+		ret = br_error_set(err, -EMSGSIZE, BR_STEP_RECEIVE, address,
+				   "too many response headers");
+	http_msg_destroy(m);
+	return ret;
 }
 
 int http_pool_exchange(struct http_pool *pool, const char *peer, const struct http_request *req,
@@ -448,15 +321,14 @@
 			    const struct http_request *req, const struct http_wait *wait,
 			    struct http_response *resp, struct br_error *err)
 {
-	struct mg_connection *conn;
-	bool recently_answered = false;
+	struct client_conn *conn;
 	bool reusable = false;
 	int ret;
 
 	memset(resp, 0, sizeof(*resp));
-	conn = take_idle(pool, peer, &recently_answered);
+	conn = take_idle(pool, peer);
 	if (!conn)
-		conn = open_conn(pool, peer, !recently_answered, err);
+		conn = open_conn(pool, peer, err);
 	if (!conn)
 		return err ? err->code : -ECONNREFUSED;
 	ret = send_request(conn, peer, req);
@@ -466,13 +338,13 @@
 				    "headers too large or out of memory; nothing was sent");
 	}
 	if (ret) {
-		mg_close_connection(conn);
+		client_conn_close(conn);
 		close_idle_conns(pool, peer);
 		return br_error_set(err, ret, BR_STEP_SEND, peer, "cannot send the request");
 	}
-	ret = receive_response(pool, conn, peer, req->method, wait, resp, &reusable, err);
+	ret = receive_response(conn, peer, wait, resp, &reusable, err);
 	if (ret) {
-		mg_close_connection(conn);
+		client_conn_close(conn);
 		if (ret == -ECONNRESET)
 			close_idle_conns(pool, peer);
 		http_response_free(resp);
@@ -481,7 +353,7 @@
 	if (reusable)
 		put_idle(pool, peer, conn);
 	else
-		mg_close_connection(conn);
+		client_conn_close(conn);
 	return 0;
 }
 
--- a/tests/unit/http_client.c
+++ b/tests/unit/http_client.c
@@ -2,6 +2,7 @@
 #include "briarreel/error.h"
 #include "common/clock.h"
 #include "common/http_server.h"
+#include "tests/unit/answer_cases.h"
 
 #include <arpa/inet.h>
 #include <civetweb.h>
@@ -125,29 +126,62 @@
 	cr_assert_str_eq(err.peer, "127.0.0.1:1");
 }
 
-struct raw_case {
+/* A server that sends given bytes for the first request and closes the connection. */
+struct raw_server {
+	int listener;
 	const char *answer;
-	int expected;
+	size_t len;
+	pthread_t thread;
 };
 
-static const struct raw_case *raw_case;
-
 static void *serve_raw(void *arg)
 {
-	int listener = *(int *)arg;
-	char buf[4096];
+	struct raw_server *s = arg;
+	bool served = false;
 
-	/* The first connection is the client's reachability probe. */
-	for (int i = 0; i < 2; i++) {
-		int fd = accept(listener, NULL, NULL);
+	while (!served) {
+		int fd = accept(s->listener, NULL, NULL);
+		char buf[4096];
 
-		if (recv(fd, buf, sizeof(buf), 0) > 0 && raw_case->answer)
-			cr_assert(send(fd, raw_case->answer, strlen(raw_case->answer), 0) > 0);
+		/* A connection may only test whether the server can be reached. */
+		served = recv(fd, buf, sizeof(buf), 0) > 0;
+		if (served && s->len)
+			cr_assert(send(fd, s->answer, s->len, MSG_NOSIGNAL) > 0);
 		close(fd);
 	}
 	return NULL;
 }
 
+static void listen_raw(struct raw_server *s)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(sa);
+
+	s->listener = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert_eq(bind(s->listener, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	cr_assert_eq(listen(s->listener, 8), 0);
+	getsockname(s->listener, (struct sockaddr *)&sa, &len);
+	snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(sa.sin_port));
+}
+
+static void start_raw(struct raw_server *s, const char *answer, size_t len)
+{
+	*s = (struct raw_server){.answer = answer, .len = len};
+	listen_raw(s);
+	pthread_create(&s->thread, NULL, serve_raw, s);
+}
+
+static void stop_raw(struct raw_server *s)
+{
+	pthread_join(s->thread, NULL);
+	close(s->listener);
+}
+
+struct raw_case {
+	const char *answer;
+	int expected;
+};
+
 /* Truncated answers and answers of unknown length must fail, not be returned as complete. */
 Test(http_client, broken_answers)
 {
@@ -157,36 +191,61 @@
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", -EBADMSG},
 		{"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nabc", -EMSGSIZE},
 		{"garbage\r\n\r\n", -ECONNRESET},
-		{NULL, -ECONNRESET},
+		{"", -ECONNRESET},
 		{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", 0},
 	};
 
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		struct sockaddr_in sa = {.sin_family = AF_INET,
-					 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-		socklen_t len = sizeof(sa);
-		int listener = socket(AF_INET, SOCK_STREAM, 0);
 		struct http_request req = {.method = "GET", .target = "/"};
 		struct http_response resp;
 		struct br_error err = {0};
-		pthread_t thread;
+		struct raw_server s;
 		int ret;
 
-		raw_case = &cases[i];
-		cr_assert_eq(bind(listener, (struct sockaddr *)&sa, sizeof(sa)), 0);
-		cr_assert_eq(listen(listener, 8), 0);
-		getsockname(listener, (struct sockaddr *)&sa, &len);
-		snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(sa.sin_port));
-		pthread_create(&thread, NULL, serve_raw, &listener);
+		start_raw(&s, cases[i].answer, strlen(cases[i].answer));
 		ret = http_pool_exchange(pool, address, &req, 10000, &resp, &err);
 		cr_assert_eq(ret, cases[i].expected, "case %zu: %d %s", i, ret, err.detail);
 		if (!ret)
 			http_response_free(&resp);
-		pthread_join(thread, NULL);
-		close(listener);
+		stop_raw(&s);
 	}
 }
 
+/* Sends one case and returns whether the exchange ended as it should. */
+static bool ends_as_expected(const struct answer_case *a)
+{
+	struct http_request req = {.method = a->head ? "HEAD" : "GET", .target = "/"};
+	/* This client takes no answer whose end is that of the connection. */
+	bool valid = a->status && !a->by_close;
+	struct http_response resp = {0};
+	struct br_error err = {0};
+	struct raw_server s;
+	bool expected;
+	int ret;
+
+	start_raw(&s, a->bytes, a->len);
+	ret = http_pool_exchange(pool, address, &req, 2000, &resp, &err);
+	expected = valid ? !ret && resp.status == a->status &&
+				   !strcmp(resp.body ? resp.body : "", a->body)
+			 : ret < 0;
+	if (!expected)
+		fprintf(stderr, "%s: %d %s, status %d, body \"%s\"\n", a->name, ret, err.detail,
+			resp.status, resp.body ? resp.body : "");
+	http_response_free(&resp);
+	stop_raw(&s);
+	return expected;
+}
+
+/* Only what the grammar of HTTP allows is an answer, and all of that is. */
+Test(http_client, only_valid_answers_are_taken)
+{
+	uint32_t n_unexpected = 0;
+
+	for (size_t i = 0; i < N_ANSWER_CASES; i++)
+		n_unexpected += !ends_as_expected(&answer_cases[i]);
+	cr_assert_eq(n_unexpected, 0, "%u of %zu cases", n_unexpected, N_ANSWER_CASES);
+}
+
 /* A request header that does not fit is refused before sending, and the connection stays usable. */
 Test(http_client, oversized_request_header_is_not_sent)
 {
