--- a/common/client_conn.c
+++ b/common/client_conn.c
@@ -146,6 +146,13 @@
 	free(c);
 }
 
+bool client_conn_is_idle(const struct client_conn *c)
+{
+	char byte;
+
+	return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 int client_conn_send(struct client_conn *c, const char *bytes, size_t len, bool to_head)
 {
 	c->receiver.no_body = to_head;
--- a/common/client_conn.h
+++ b/common/client_conn.h
@@ -31,6 +31,9 @@
 /** Closes the connection; NULL is allowed. */
 void client_conn_close(struct client_conn *c);
 
+/** Tests whether the server has neither closed an idle connection nor sent bytes on it. */
+bool client_conn_is_idle(const struct client_conn *c);
+
 /**
  * Sends all bytes of a request; to_head: it is one with the method HEAD. Returns 0 or a negative
  * error number, after which the connection must be closed.
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -91,12 +91,15 @@
 	return p;
 }
 
-/* Tests whether an idle connection can carry a request: it has not expired. */
+/*
+ * Tests whether an idle connection can carry a request: it has not expired, the peer has not closed
+ * it, and nothing has arrived on it that would be read as the response.
+ */
 static bool is_usable(const struct http_pool *pool, const struct idle_conn *c, uint64_t now_us)
 {
 	uint64_t max_idle_us = (uint64_t)pool->cfg.max_idle_ms * BR_US_PER_MS;
 
-	return now_us - c->idle_since_us < max_idle_us;
+	return now_us - c->idle_since_us < max_idle_us && client_conn_is_idle(c->conn);
 }
 
 /*
--- a/tests/unit/http_client.c
+++ b/tests/unit/http_client.c
@@ -246,6 +246,69 @@
 	cr_assert_eq(n_unexpected, 0, "%u of %zu cases", n_unexpected, N_ANSWER_CASES);
 }
 
+#define ANSWER(body) "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" body
+
+/* How a server sends an answer twice: with a pause between the copies, or at once. */
+struct copies {
+	int listener;
+	bool at_once;
+	atomic_bool sent;
+};
+
+static void send_all(int fd, const char *text)
+{
+	cr_assert_eq(send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+}
+
+/* Serves one connection after the other: the first one twice the answer "one", further ones "two". */
+static void *serve_copies(void *arg)
+{
+	struct copies *s = arg;
+	char buf[4096];
+
+	for (int n = 0; n < 2;) {
+		int fd = accept(s->listener, NULL, NULL);
+
+		while (n < 2 && recv(fd, buf, sizeof(buf), 0) > 0) {
+			send_all(fd, n++	  ? ANSWER("two")
+				     : s->at_once ? ANSWER("one") ANSWER("one")
+						  : ANSWER("one"));
+			if (n == 1 && !s->at_once) {
+				clock_sleep_ms(20);
+				send_all(fd, ANSWER("one"));
+			}
+			atomic_store(&s->sent, true);
+		}
+		close(fd);
+	}
+	return NULL;
+}
+
+/* A second copy of an answer must not be read as the answer to the next request. */
+Test(http_client, second_copy_is_not_the_next_answer)
+{
+	for (int at_once = 0; at_once < 2; at_once++) {
+		struct http_request req = {.method = "GET", .target = "/"};
+		struct copies copies = {.at_once = at_once};
+		struct http_response resp;
+		struct raw_server s = {0};
+
+		listen_raw(&s);
+		copies.listener = s.listener;
+		pthread_create(&s.thread, NULL, serve_copies, &copies);
+		cr_assert_eq(http_pool_exchange(pool, address, &req, 2000, &resp, NULL), 0);
+		cr_assert_str_eq(resp.body, "one");
+		http_response_free(&resp);
+		while (!atomic_load(&copies.sent))
+			clock_sleep_ms(5);
+		clock_sleep_ms(20);
+		cr_assert_eq(http_pool_exchange(pool, address, &req, 2000, &resp, NULL), 0);
+		cr_assert_str_eq(resp.body, "two");
+		http_response_free(&resp);
+		stop_raw(&s);
+	}
+}
+
 /* A request header that does not fit is refused before sending, and the connection stays usable. */
 Test(http_client, oversized_request_header_is_not_sent)
 {
