--- a/mesh/job.c
+++ b/mesh/job.c
@@ -3,6 +3,7 @@
 #include "mesh/peer_format.h"
 #include "platform/fields.h"
 
+#include <errno.h>
 #include <string.h>
 #include <strings.h>
 
@@ -14,6 +15,7 @@
 	[JOB_REASON_TARGET_REFUSED] = "shed",
 	[JOB_REASON_UNREACHABLE] = "unreachable",
 	[JOB_REASON_CONNECTION_LOST] = "broken",
+	[JOB_REASON_INVALID_ANSWER] = "invalid_answer",
 	[JOB_REASON_UNSEALED] = "unsealed",
 	[JOB_REASON_TIMEOUT] = "timeout",
 };
@@ -38,6 +40,18 @@
 	return JOB_REASON_CONNECTION_LOST;
 }
 
+enum job_reason job_reason_of_error(int err)
+{
+	switch (err) {
+	case -ETIMEDOUT:
+		return JOB_REASON_TIMEOUT;
+	case -EPROTO:
+		return JOB_REASON_INVALID_ANSWER;
+	default:
+		return JOB_REASON_CONNECTION_LOST;
+	}
+}
+
 static bool is_forwarded_field(const char *name)
 {
 	switch (platform_field_find(name)) {
--- a/mesh/job.h
+++ b/mesh/job.h
@@ -39,6 +39,8 @@
 	JOB_REASON_UNREACHABLE,
 	/** The connection ended before a complete answer was received; written as "broken". */
 	JOB_REASON_CONNECTION_LOST,
+	/** What was received is not HTTP, or only answers to other requests. */
+	JOB_REASON_INVALID_ANSWER,
 	/** A successful answer has no PLATFORM_FIELD_SEAL: the target may not have computed it. */
 	JOB_REASON_UNSEALED,
 	JOB_REASON_TIMEOUT,
@@ -102,6 +104,9 @@
 /** Parses the name of a reason; an unknown name gives JOB_REASON_CONNECTION_LOST. */
 enum job_reason job_reason_parse(const char *text);
 
+/** Why a job is lost whose call ended with a negative error number. */
+enum job_reason job_reason_of_error(int err);
+
 /**
  * Appends the request line and the header fields that are forwarded to a target. Fields that nodes
  * set themselves, such as the time left and the target's id, are left out.
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -98,11 +98,9 @@
 			br_balance_record_connect_failure(run->board->balance, &run->id, now_us);
 		end_run(job, BR_BALANCE_ERROR);
 		http_msg_destroy(msg);
-		end_job(job,
-			(struct job_end){.result = JOB_LOST,
-					 .reason = err == -ETIMEDOUT ? JOB_REASON_TIMEOUT
-								     : JOB_REASON_CONNECTION_LOST,
-					 .reached = true});
+		end_job(job, (struct job_end){.result = JOB_LOST,
+					      .reason = job_reason_of_error(err),
+					      .reached = true});
 		return;
 	}
 	record_answer(run, &end, now_us);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -413,9 +413,7 @@
 	if (call_result == HTTP_CALL_NOT_SENT) {
 		end_job(t, job, JOB_NOT_RUN, JOB_REASON_UNREACHABLE, NULL, false);
 	} else if (call_result == HTTP_CALL_LOST) {
-		end_job(t, job, JOB_LOST,
-			err == UV_ETIMEDOUT ? JOB_REASON_TIMEOUT : JOB_REASON_CONNECTION_LOST, NULL,
-			true);
+		end_job(t, job, JOB_LOST, job_reason_of_error(err), NULL, true);
 	} else if (!ran) {
 		http_msg_destroy(msg);
 		end_job(t, job, JOB_NOT_RUN, JOB_REASON_TARGET_REFUSED, NULL, true);
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -284,6 +284,33 @@
 	target_destroy(f.target);
 }
 
+/*
+ * Guards against a refusal that is no HTTP and is believed, and against logs that tell such an answer
+ * as a connection that broke.
+ */
+Test(mesh_target, invalid_answer_is_told_as_such)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 000 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX Field: v\r\nContent-Length: 0\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+		struct fixture f = {0};
+		struct ended_job job;
+
+		start(&f);
+		f.server.answer = answers[i];
+		start_job(f.target, &job, "a", 1000);
+		run_until(&f.server, &job.ended);
+		cr_assert_eq(job.result, JOB_LOST);
+		cr_assert_str_eq(job_reason_text(job.reason), "invalid_answer");
+		cr_assert_eq(job_reason_parse("invalid_answer"), job.reason);
+		http_msg_destroy(job.msg);
+		target_destroy(f.target);
+	}
+}
+
 /*
  * Guards against bytes behind an answer that arrive with it: the next job is sent on the connection
  * before they are read, and a refusal among them would be taken for the answer to that job.
