--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -37,6 +37,8 @@
  * healthy while it is "ready" or empty.
  */
 static char state[32] = "ready";
+/** The target's health answers are no HTTP. */
+static bool health_is_odd;
 
 static void sleep_ms(long ms)
 {
@@ -88,14 +90,18 @@
 	}
 }
 
-static bool is_healthy(void)
+static bool answer_health(int fd)
 {
-	bool healthy;
+	bool healthy, odd;
+	char fields[512];
 
 	pthread_mutex_lock(&lock);
 	healthy = !*state || !strcmp(state, "ready");
+	odd = health_is_odd;
 	pthread_mutex_unlock(&lock);
-	return healthy;
+	snprintf(fields, sizeof(fields), "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%d\r\n%s",
+		 target_id, slots, odd ? "X-Field: \x01\r\n" : "");
+	return http_answer(fd, healthy ? 200 : 503, fields, "");
 }
 
 /* Sends an answer that is too long for the buffers of the kernel. */
@@ -170,11 +176,8 @@
 {
 	char id[ID_BYTES] = "", expected[ID_BYTES] = "", fields[512], text[1024];
 
-	if (!strcmp(req->target, "/health")) {
-		snprintf(fields, sizeof(fields), "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%d\r\n",
-			 target_id, slots);
-		return http_answer(fd, is_healthy() ? 200 : 503, fields, "");
-	}
+	if (!strcmp(req->target, "/health"))
+		return answer_health(fd);
 	http_req_field(req, "X-Attempt-Id", id, sizeof(id));
 	http_req_field(req, "X-Expected-Instance", expected, sizeof(expected));
 	snprintf(fields, sizeof(fields), "X-Attempt-Id: %s\r\nX-Server-Seal: seal.%s\r\n", id,
@@ -264,6 +267,10 @@
 		snprintf(state, sizeof(state), "%s",
 			 strcmp(command + 6, "mute") ? command + 6 : "");
 		pthread_mutex_unlock(&lock);
+	} else if (!strncmp(command, "health/", 7)) {
+		pthread_mutex_lock(&lock);
+		health_is_odd = !strcmp(command + 7, "odd");
+		pthread_mutex_unlock(&lock);
 	} else if (!strncmp(command, "runs", 4)) {
 		snprintf(text, sizeof(text), "runs %d\n",
 			 count_runs(command[4] == '/' ? command + 5 : ""));
