--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -253,6 +253,16 @@
 	return f;
 }
 
+static struct fault pick_invalid_answers(struct br_rng *rng)
+{
+	return (struct fault){.kind = FAULT_TARGET,
+			      .node = random_below(rng, soak.n_nodes),
+			      .variant = TARGET_ANSWERS_INVALID - 1,
+			      .until_us =
+				      FAULT_MIN_US +
+				      random_below(rng, (uint32_t)(FAULT_MAX_US - FAULT_MIN_US))};
+}
+
 static struct fault pick_freeze(struct br_rng *rng)
 {
 	return (struct fault){.kind = FAULT_FREEZE,
@@ -326,19 +336,22 @@
 {
 	struct fault *active[ACTIVE_MAX] = {0};
 	uint64_t start_us = now_us(), next_us = start_us, next_later_us = start_us;
-	uint64_t next_freeze_us = start_us;
+	uint64_t next_freeze_us = start_us, next_invalid_us = start_us;
 	bool pending = true;
-	struct br_rng rng, later_rng, freeze_rng;
+	struct br_rng rng, later_rng, freeze_rng, invalid_rng;
 
 	br_rng_seed(&rng, soak.seed);
 	br_rng_seed(&later_rng, ~soak.seed);
 	br_rng_seed(&freeze_rng, soak.seed * 31);
+	br_rng_seed(&invalid_rng, soak.seed * 37);
 	while (now_us() < start_us + for_us) {
 		start_due(pick_fault, &rng, &next_us, FAULT_GAP_MAX_MS, active, start_us);
 		start_due(pick_later_fault, &later_rng, &next_later_us, 2 * LATER_FAULT_GAP_MS,
 			  active, start_us);
 		start_due(pick_freeze, &freeze_rng, &next_freeze_us, 2 * FREEZE_GAP_MS, active,
 			  start_us);
+		start_due(pick_invalid_answers, &invalid_rng, &next_invalid_us,
+			  2 * LATER_FAULT_GAP_MS, active, start_us);
 		end_faults(active, false);
 		process_check();
 		sleep_us(CHECK_INTERVAL_US);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -212,6 +212,8 @@
 	TARGET_TRUNCATES,
 	/** Sheds without the request's id, and writes that again before the next answer. */
 	TARGET_REFUSES_AGAIN,
+	/** Runs the request and sends bytes that are no HTTP. */
+	TARGET_ANSWERS_INVALID,
 	TARGET_FAULTS,
 };
 
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -115,6 +115,30 @@
 	return ok;
 }
 
+/* Sends bytes that are no HTTP; some of them say that the request has not run. */
+static bool send_invalid_answer(int fd, const char *id, const char *seal, uint32_t r)
+{
+	static const char *const formats[] = {
+		"HTTP/1.1 000 Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n"
+		"X-Not-Executed: 1\r\nContent-Length: 3\r\n\r\nodd",
+		"HTTP/1.1 503 Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n"
+		"X-Not-Executed: 1\r\nX-Field: \x01\r\nContent-Length: 3\r\n\r\nodd",
+		"HTTP/1.1 200 Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n"
+		"\rContent-Length: 3\r\n\r\nodd",
+		"HTTP/1.1 200 Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n"
+		"X Field: v\r\nContent-Length: 3\r\n\r\nodd",
+		"HTTP/1.1 200 Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n3\r\noddXY0\r\n\r\n",
+		"HTTP/1.1 200 Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Le",
+	};
+	char text[512];
+	int n = snprintf(text, sizeof(text), formats[r % (sizeof(formats) / sizeof(formats[0]))],
+			 id, seal);
+
+	http_send(fd, text, (size_t)n);
+	return false;
+}
+
 static bool make_call(uint32_t node, uint32_t r, uint64_t remaining_ms)
 {
 	int fd = -1, status;
@@ -204,6 +228,8 @@
 		return false;
 	}
 	snprintf(seal, sizeof(seal), "%s.%08x", own_id, r);
+	if (fault == TARGET_ANSWERS_INVALID)
+		return send_invalid_answer(fd, id, seal, r);
 	if (fault == TARGET_FAILS ||
 	    (record_kind(r) == KIND_CHAIN && !make_call(node, r, a.remaining_ms)))
 		return send_answer(fd, id, seal, 500, "failed", TARGET_HEALTHY);
