--- a/tests/unit/mesh_odd_input.c
+++ b/tests/unit/mesh_odd_input.c
@@ -366,6 +366,28 @@
 		    false);
 }
 
+Test(mesh_odd_input, answer_reason_without_end)
+{
+	run_endless("HTTP/1.1 200 ", X80 X80 X80 X80, false);
+}
+
+#define CHUNKED_HEAD "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+Test(mesh_odd_input, answer_chunk_size_without_end)
+{
+	run_endless(CHUNKED_HEAD, "00000000000000000000000000000000", false);
+}
+
+Test(mesh_odd_input, answer_chunk_extension_without_end)
+{
+	run_endless(CHUNKED_HEAD "1;a=\"", X80 X80 X80 X80, false);
+}
+
+Test(mesh_odd_input, answer_trailers_without_end)
+{
+	run_endless(CHUNKED_HEAD "0\r\n", "X-A: " X80 "\r\n", false);
+}
+
 Test(mesh_odd_input, answer_of_no_protocol_without_end)
 {
 	run_endless(X80, X80, false);
