--- a/tests/unit/mesh_odd_input.c
+++ b/tests/unit/mesh_odd_input.c
@@ -265,6 +265,48 @@
 	}
 }
 
+#define STORE_BODY(length, body) "HTTP/1.1 200 OK\r\nContent-Length: " length "\r\n\r\n" body
+
+/*
+ * Guards against a success of the store whose body can't be read: taken for a success, it would
+ * confirm a configuration or a list of members that nobody has read.
+ */
+Test(mesh_odd_input, unreadable_success_of_the_store_tells_nothing)
+{
+	static const char *const answers[] = {
+		STORE_BODY("0", ""),	 STORE_BODY("7", "{\"at\":7"), STORE_BODY("2", "[]"),
+		STORE_BODY("4", "null"), STORE_BODY("6", "<html>"),
+	};
+
+	for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+		struct server s = {.answer = answers[i]};
+		struct page page = {0};
+		struct store *store;
+
+		start_server(&s);
+		store = store_create(s.loop, &s.addr);
+		store_range(store, "mesh/", "", 1000, on_page, &page);
+		run_until(&s, &page.done);
+		cr_expect_eq(page.result, STORE_UNKNOWN, "%s", answers[i]);
+		store_destroy(store);
+	}
+}
+
+/* A renewal may be answered without a body. */
+Test(mesh_odd_input, success_without_a_body_counts_for_a_write)
+{
+	struct server s = {.answer = STORE_BODY("0", "")};
+	struct page page = {0};
+	struct store *store;
+
+	start_server(&s);
+	store = store_create(s.loop, &s.addr);
+	store_renew_lease(store, 7, 1000, on_page, &page);
+	run_until(&s, &page.done);
+	cr_assert_eq(page.result, STORE_OK);
+	store_destroy(store);
+}
+
 /* --- Bytes without end --- */
 
 #define CALLS 24
