--- a/common/http_client.c
+++ b/common/http_client.c
@@ -267,7 +267,7 @@
 	}
 }
 
-/* Moves the headers and the body of an answer to resp. Returns false if there are too many headers. */
+/* Moves the headers and the body of an answer to resp; false if there are too many headers. */
 static bool take_message(struct http_msg *m, bool has_body, struct http_response *resp)
 {
 	if (m->n_fields > HTTP_MAX_HEADERS)
--- a/common/http_client.h
+++ b/common/http_client.h
@@ -97,9 +97,9 @@
  * Returns 0, or a negative error number with err filled. After an error at BR_STEP_CONNECT or
  * BR_STEP_VALIDATE nothing was sent; after BR_STEP_SEND or BR_STEP_RECEIVE the peer may have
  * received the request. -ETIMEDOUT: no response in time. -ECONNRESET: the connection ended, or what
- * arrived is not the head of a response. -EBADMSG: the response is truncated, its body is invalid or
- * its length is unknown. -EMSGSIZE: it is too large. A connection is reused only after a complete
- * response that nothing followed.
+ * arrived is not the head of a response. -EBADMSG: the response is truncated, its body is invalid
+ * or its length is unknown. -EMSGSIZE: it is too large. A connection is reused only after a
+ * complete response that nothing followed.
  */
 int http_pool_exchange(struct http_pool *pool, const char *peer, const struct http_request *req,
 		       uint32_t timeout_ms, struct http_response *resp, struct br_error *err);
--- a/net/http_receive.h
+++ b/net/http_receive.h
@@ -70,8 +70,9 @@
 void http_receiver_release(struct http_receiver *r);
 
 /**
- * Parses bytes, and may change them. Returns 0, or the HTTP status to answer with if they are not a valid message or
- * there is no room for it. The result is meaningless after a callback returned false.
+ * Parses bytes, and may change them. Returns 0, or the HTTP status to answer with if they are not a
+ * valid message or there is no room for it. The result is meaningless after a callback returned
+ * false.
  */
 uint16_t http_receiver_add(struct http_receiver *r, char *bytes, size_t len);
 
--- a/tests/random/answers.c
+++ b/tests/random/answers.c
@@ -1,7 +1,7 @@
 /*
- * Answers written at random by the grammar of RFC 9112, received in random pieces. Each valid one is
- * delivered as it was meant; none is delivered once a control byte stands outside of its body, or
- * before its last byte has come. BR_SEED runs one seed.
+ * Answers written at random by the grammar of RFC 9112, received in random pieces. Each valid one
+ * is delivered as it was meant; none is delivered once a control byte stands outside of its body,
+ * or before its last byte has come. BR_SEED runs one seed.
  */
 #include "briarreel/types.h"
 #include "net/http_receive.h"
@@ -216,7 +216,7 @@
 
 /* --- Receiving --- */
 
-/* Receives so many bytes in pieces, then the end of the connection. Returns false if one is invalid. */
+/* Receives so many bytes in pieces, then the end of the connection; false if one is invalid. */
 static bool receive(struct received *r, const struct sent *s, size_t len, struct br_rng *rng)
 {
 	const struct http_limits limits = {.header_bytes = 4096, .body_bytes = 4096};
--- a/tests/unit/http_client.c
+++ b/tests/unit/http_client.c
@@ -260,19 +260,19 @@
 	cr_assert_eq(send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
 }
 
-/* Serves one connection after the other: the first one twice the answer "one", further ones "two". */
+/* Serves one connection after the other: the first request gets "one" twice, the second "two". */
 static void *serve_copies(void *arg)
 {
 	struct copies *s = arg;
+	const char *first = s->at_once ? ANSWER("one") ANSWER("one") : ANSWER("one");
 	char buf[4096];
 
 	for (int n = 0; n < 2;) {
 		int fd = accept(s->listener, NULL, NULL);
 
 		while (n < 2 && recv(fd, buf, sizeof(buf), 0) > 0) {
-			send_all(fd, n++	  ? ANSWER("two")
-				     : s->at_once ? ANSWER("one") ANSWER("one")
-						  : ANSWER("one"));
+			send_all(fd, n ? ANSWER("two") : first);
+			n++;
 			if (n == 1 && !s->at_once) {
 				clock_sleep_ms(20);
 				send_all(fd, ANSWER("one"));
--- a/tests/unit/mesh_peer.c
+++ b/tests/unit/mesh_peer.c
@@ -95,7 +95,7 @@
 	stop(&f);
 }
 
-/* Guards against a job that is sent again elsewhere, although it may have run, for such a refusal. */
+/* Guards against a job that is sent elsewhere, although it may have run, for such a refusal. */
 Test(mesh_peer, invalid_refusal_of_a_node_is_not_believed)
 {
 	static const char *const answers[] = {
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -285,8 +285,8 @@
 }
 
 /*
- * Guards against a refusal that is no HTTP and is believed, and against logs that tell such an answer
- * as a connection that broke.
+ * Guards against a refusal that is no HTTP and is believed, and against logs that tell such an
+ * answer as a connection that broke.
  */
 Test(mesh_target, invalid_answer_is_told_as_such)
 {
