--- a/tests/unit/mesh_peer.c
+++ b/tests/unit/mesh_peer.c
@@ -1,31 +1,13 @@
 /* Jobs at another node, whose answers the test gives. */
 #include "mesh/peer.h"
 
-#include "common/clock.h"
 #include "mesh/members.h"
 #include "mesh/peer_format.h"
+#include "tests/unit/ended_job.h"
 #include "tests/unit/fake_server.h"
 
 #include <stdio.h>
 
-struct ended_job {
-	struct job job;
-	struct http_msg *msg;
-	enum job_result result;
-	enum job_reason reason;
-	bool ended;
-};
-
-static void on_job_end(struct job *job, const struct job_end *end)
-{
-	struct ended_job *j = (struct ended_job *)((char *)job - offsetof(struct ended_job, job));
-
-	j->result = end->result;
-	j->reason = end->reason;
-	j->ended = true;
-	http_msg_destroy(end->answer);
-}
-
 struct fixture {
 	struct server server;
 	struct mesh_settings settings;
@@ -56,19 +38,7 @@
 
 static void run_job(struct fixture *f, struct ended_job *j)
 {
-	uint64_t until_us = clock_now_us() + BR_US_PER_S;
-
-	*j = (struct ended_job){.msg = http_msg_create()};
-	buf_append(&j->msg->text, "/p/", sizeof("/p/"));
-	j->job = (struct job){.msg = j->msg,
-			      .id = "a",
-			      .target = "t1",
-			      .service = "s",
-			      .account = "",
-			      .caller_service = "s",
-			      .deadline_us = until_us,
-			      .queue_until_us = until_us,
-			      .done = on_job_end};
+	prepare_job(j, "a", 1000);
 	peer_run(&f->board, f->member, &j->job);
 	run_until(&f->server, &j->ended);
 	http_msg_destroy(j->msg);
