--- a/standins/mesh/kv.c
+++ b/standins/mesh/kv.c
@@ -62,7 +62,9 @@
 	if (!it->value)
 		it->created = revision + 1;
 	free(it->value);
-	snprintf(it->key, sizeof(it->key), "%s", key);
+	/* The key of a lease that ends is that of the item itself, which is not copied onto itself. */
+	if (!it->key[0])
+		snprintf(it->key, sizeof(it->key), "%s", key);
 	it->value = value ? strdup(value) : NULL;
 	it->revision = ++revision;
 	it->lease_id = lease_id;
