--- /dev/null
+++ b/review/stage2/config.h
@@ -0,0 +1,26 @@
+/**
+ * @file config.h
+ * Texts of the operator's configuration.
+ */
+#ifndef CONFIG_H
+#define CONFIG_H
+
+#include <stdint.h>
+
+#define CONFIG_BYTES 8192
+
+struct config {
+	uint32_t version;
+	/** Keys of the tenant, as a JSON list. */
+	const char *keys;
+	double rate_per_s, burst;
+	/** Service of the route "/read/"; that of "/book/", which is unsafe, is always "shop". */
+	const char *read_service;
+	/** Further routes that no caller uses. */
+	int idle_routes;
+};
+
+/** Writes the configuration to out (CONFIG_BYTES) and returns it. */
+char *config_write(const struct config *c, char *out);
+
+#endif
