review/8: a leaving target gets requests after its node was killed and its health answers are false

Cause: after a restart one health answer with 200 makes the target serving for good; the node's entry of before is not looked at. Case: a script with nine nodes, one killed, one with false health answers.

--- a/review/stage2/config.c
+++ b/review/stage2/config.c
@@ -51,6 +51,11 @@
 		snprintf(prefix, sizeof(prefix), "/idle%d/", i);
 		append_route(out, name, prefix, "safe", "shop", "false");
 	}
+	if (c->service_routes) {
+		append_route(out, "r-ledger", "/ledger/", "safe", "ledger", "false");
+		append_route(out, "r-front", "/front/", "safe", "front", "false");
+		append_service(out, "front");
+	}
 	append_service(out, "shop");
 	append_service(out, "ledger");
 	append(out,
--- a/review/stage2/config.h
+++ b/review/stage2/config.h
@@ -5,6 +5,7 @@
 #ifndef CONFIG_H
 #define CONFIG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define CONFIG_BYTES 8192
@@ -18,6 +19,8 @@
 	const char *read_service;
 	/** Further routes that no caller uses. */
 	int idle_routes;
+	/** Adds the routes "/ledger/" and "/front/" to services of these names. */
+	bool service_routes;
 };
 
 /** Writes the configuration to out (CONFIG_BYTES) and returns it. */
--- a/review/stage2/stage.c
+++ b/review/stage2/stage.c
@@ -212,7 +212,7 @@
 	const struct target *t = &places[node].target;
 	char id[ID_BYTES], expected[ID_BYTES], fields[512];
 
-	if (t->ended) {
+	if (t->ended || t->off) {
 		http_reset(fd);
 		return false;
 	}
@@ -260,13 +260,29 @@
 	return http_call(p->ip, port(PORT_REPORT), 1000, request, NULL);
 }
 
+void stage_target_off(int node)
+{
+	places[node].target.off = true;
+}
+
+void stage_target_on(int node)
+{
+	struct place *p = &places[node];
+
+	p->sequence = 0;
+	p->target.born_ms = clock_ms(CLOCK_REALTIME);
+	snprintf(p->target.id, sizeof(p->target.id), "i-%d%04xb", node + 1,
+		 (unsigned)getpid() & 0xffff);
+	p->target.off = false;
+}
+
 static void *report_state(void *arg)
 {
 	int node = (int)(intptr_t)arg;
 	struct target *t = &places[node].target;
 
 	while (!t->ended) {
-		if (!t->silent)
+		if (!t->silent && !t->off)
 			stage_target_report(node, t->leaving ? "draining" : "ready");
 		stage_sleep(BEAT_MS);
 	}
--- a/review/stage2/stage.h
+++ b/review/stage2/stage.h
@@ -25,8 +25,8 @@
 	bool health_lies;
 	/** It has announced that it leaves; it reports nothing from then on if it is silent. */
 	bool leaving, silent;
-	/** It has ended: connections are reset. */
-	bool ended;
+	/** It has ended, or has no power: connections are reset. */
+	bool ended, off;
 	uint64_t work_ms;
 };
 
@@ -61,6 +61,10 @@
 struct target *stage_target(int node);
 /** Starts the target's reports and its server; services are set before. */
 void stage_start_targets(void);
+/** The target loses power: its connections are reset and it reports nothing. */
+void stage_target_off(int node);
+/** It is up again, as a new incarnation. */
+void stage_target_on(int node);
 /** Sends the target's call "DELETE /instances/ID"; returns the status. */
 int stage_target_leave(int node);
 /** Sends one report with the state; returns the status. */
