--- a/review/stage2/config.c
+++ b/review/stage2/config.c
@@ -51,10 +51,11 @@
 		snprintf(prefix, sizeof(prefix), "/idle%d/", i);
 		append_route(out, name, prefix, "safe", "shop", "false");
 	}
-	if (c->service_routes) {
-		append_route(out, "r-ledger", "/ledger/", "safe", "ledger", "false");
-		append_route(out, "r-front", "/front/", "safe", "front", "false");
-		append_service(out, "front");
+	for (int i = 1; i <= c->n_more_services; i++) {
+		snprintf(name, sizeof(name), "s%d", i);
+		snprintf(prefix, sizeof(prefix), "/s%d/", i);
+		append_route(out, name, prefix, "safe", name, "false");
+		append_service(out, name);
 	}
 	append_service(out, "shop");
 	append_service(out, "ledger");
@@ -62,6 +63,12 @@
 	       "{\"entryKind\":\"tenants\",\"metadata\":{\"name\":\"north\"},\"specification\":{"
 	       "\"apiKeys\":%s,\"priority\":1,\"ratePerS\":%g,\"burst\":%g}},",
 	       c->keys, c->rate_per_s, c->burst);
+	if (c->more_tenant)
+		append(out,
+		       "{\"entryKind\":\"tenants\",\"metadata\":{\"name\":\"%s\"},"
+		       "\"specification\":{\"apiKeys\":%s,\"priority\":1,\"ratePerS\":%g,"
+		       "\"burst\":%g}},",
+		       c->more_tenant, c->more_keys, c->rate_per_s, c->burst);
 	append(out, "{\"entryKind\":\"limits\",\"metadata\":{},\"specification\":{"
 		    "\"headerBytes\":16384,\"bodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
 		    "\"idleTimeout\":\"15000ms\"}}]}");
--- a/review/stage2/config.h
+++ b/review/stage2/config.h
@@ -5,7 +5,6 @@
 #ifndef CONFIG_H
 #define CONFIG_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 #define CONFIG_BYTES 8192
@@ -19,8 +18,10 @@
 	const char *read_service;
 	/** Further routes that no caller uses. */
 	int idle_routes;
-	/** Adds the routes "/ledger/" and "/front/" to services of these names. */
-	bool service_routes;
+	/** Adds the services "s1", "s2" and so on, each with a safe route "/s1/" and so on. */
+	int n_more_services;
+	/** A second tenant and its keys, as a JSON list; NULL for none. */
+	const char *more_tenant, *more_keys;
 };
 
 /** Writes the configuration to out (CONFIG_BYTES) and returns it. */
--- a/review/stage2/stage.c
+++ b/review/stage2/stage.c
@@ -203,6 +203,7 @@
 		r->node = node;
 		snprintf(r->id, sizeof(r->id), "%s", id);
 		http_field(h, "X-Tenant", r->account, sizeof(r->account));
+		http_field(h, "X-Caller-Service", r->caller, sizeof(r->caller));
 	}
 	pthread_mutex_unlock(&lock);
 }
@@ -489,10 +490,10 @@
 	for (int i = 0; i < n_calls; i++)
 		fprintf(record, "%s %d %" PRIu64 " %" PRIu64 " %d\n", calls[i].id,
 			calls[i].node + 1, calls[i].sent_ms, calls[i].done_ms, calls[i].status);
-	fprintf(record, "\nruns: id, target's node, at ms, account\n");
+	fprintf(record, "\nruns: id, target's node, at ms, X-Caller-Service, X-Tenant\n");
 	for (int i = 0; i < n_runs; i++)
-		fprintf(record, "%s %d %" PRIu64 " %s\n", runs[i].id, runs[i].node + 1,
-			runs[i].at_ms, runs[i].account);
+		fprintf(record, "%s %d %" PRIu64 " %s %s\n", runs[i].id, runs[i].node + 1,
+			runs[i].at_ms, runs[i].caller, runs[i].account);
 }
 
 void stage_stop(void)
--- a/review/stage2/stage.h
+++ b/review/stage2/stage.h
@@ -34,7 +34,8 @@
 struct run {
 	uint64_t at_ms;
 	int node;
-	char id[ID_BYTES], account[ID_BYTES];
+	/** account and caller: values of X-Tenant and X-Caller-Service. */
+	char id[ID_BYTES], account[ID_BYTES], caller[ID_BYTES];
 };
 
 /** One request of a caller. */
