--- a/review/7/main.c
+++ b/review/7/main.c
@@ -1,12 +1,13 @@
 /**
  * @file main.c
- * The store comes back from a copy that names an earlier keeper. See claim.txt.
+ * The store comes back from a copy that names an earlier keeper, during planned restarts. See claim.txt.
  */
 #include "config.h"
 #include "stage.h"
 
 #include <inttypes.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 
 #define NODES 3
@@ -18,6 +19,8 @@
 #define SLACK 20
 #define CALLERS_PER_NODE 12
 #define PRESS_MS 9000
+/* Pause between the end of a process and its start. */
+#define RESTART_MS 1500
 
 static const char keys[] = "[\"key-north-1f6s\"]";
 static uint64_t press_until_ms;
@@ -76,13 +79,25 @@
 	return most;
 }
 
+/* Starts a node again after its stop. */
+static bool restart_if_ended(int node)
+{
+	if (!stage_node_ended(node))
+		return false;
+	stage_sleep(RESTART_MS);
+	stage_start_node(node, false);
+	stage_note("node %d starts again", node + 1);
+	return true;
+}
+
 int main(int argc, char **argv)
 {
 	static char text[CONFIG_BYTES];
 	pthread_t callers[NODES * CALLERS_PER_NODE];
 	uint64_t at_ms = 0, from_ms;
 	double bound = (RATE_PER_S * WINDOW_MS / 1000 + BURST) * (1 + OVERAGE) + SLACK;
-	int most, n = 0;
+	int most, keeper, next, n = 0;
+	bool restarted = false;
 
 	stage_start(argc > 1 ? argv[1] : "record.txt", NODES);
 	for (int i = 0; i < NODES; i++)
@@ -99,13 +114,24 @@
 			return not_run("a node is not ready");
 	stage_sleep(6000);
 	stage_store_copy();
-	stage_note("node 1 loses its power");
-	stage_kill_node(0);
+	/* The operator restarts the nodes in turn and changes the configuration meanwhile. */
+	stage_note("node 1, the keeper, gets SIGTERM");
+	stage_signal_node(0, SIGTERM);
 	for (int v = 2; v <= 8; v++) {
 		stage_sleep(500);
 		stage_put_config(make((uint32_t)v, v, text));
+		restarted = restarted || restart_if_ended(0);
 	}
 	stage_sleep(1500);
+	if (!restarted && !restart_if_ended(0))
+		return not_run("node 1 has not stopped");
+	if (!stage_wait_ready(0, READY_MS))
+		return not_run("node 1 is not ready");
+	keeper = stage_keeper();
+	if (keeper != 1 && keeper != 2)
+		return not_run("neither node 2 nor node 3 is keeper");
+	next = 3 - keeper;
+	stage_note("node %d is keeper now", keeper + 1);
 	if (stage_trouble()) {
 		stage_store_down();
 		stage_sleep(1000);
@@ -113,11 +139,13 @@
 	} else {
 		stage_sleep(1000);
 	}
-	stage_sleep(500);
-	stage_note("node 1 starts again");
-	stage_start_node(0, false);
-	if (!stage_wait_ready(0, READY_MS))
-		return not_run("node 1 is not ready");
+	stage_sleep(4000);
+	stage_note("node %d gets SIGTERM", next + 1);
+	stage_signal_node(next, SIGTERM);
+	for (int i = 0; i < 80 && !stage_node_ended(next); i++)
+		stage_sleep(100);
+	if (!restart_if_ended(next) || !stage_wait_ready(next, READY_MS))
+		return not_run("the node has not restarted");
 	stage_sleep(10000);
 	for (int i = 0; i < NODES; i++)
 		n += stage_call(i, "GET", "/read/a", "key-north-1f6s", 4000, NULL) == 200;
--- a/review/stage2/config.c
+++ b/review/stage2/config.c
@@ -27,6 +27,17 @@
 	       name, prefix, kind, service, is_public);
 }
 
+static void append_split_route(char *out, const struct config *c)
+{
+	append(out,
+	       "{\"entryKind\":\"routes\",\"metadata\":{\"name\":\"r-read\"},\"specification\":{"
+	       "\"host\":\"" HOST "\",\"prefix\":\"/read/\",\"kind\":\"safe\","
+	       "\"timeout\":\"4000ms\",\"latencyTarget\":\"1500ms\",\"priority\":1,"
+	       "\"weightedServices\":[{\"service\":\"shop\",\"weight\":%s},"
+	       "{\"service\":\"ledger\",\"weight\":%s}],\"attempts\":2,\"public\":false}},",
+	       c->shop_weight, c->ledger_weight);
+}
+
 static void append_service(char *out, const char *name)
 {
 	append(out,
@@ -43,7 +54,10 @@
 	out[0] = '\0';
 	append(out, "{\"version\":\"%08x\",\"baseVersion\":\"%08x\",\"resources\":[", c->version,
 	       c->version - 1);
-	append_route(out, "r-read", "/read/", "safe", c->read_service, "false");
+	if (c->shop_weight)
+		append_split_route(out, c);
+	else
+		append_route(out, "r-read", "/read/", "safe", c->read_service, "false");
 	append_route(out, "r-book", "/book/", "unsafe", "shop", "false");
 	append_route(out, "r-open", "/open/", "safe", "shop", "true");
 	for (int i = 0; i < c->idle_routes; i++) {
--- a/review/stage2/config.h
+++ b/review/stage2/config.h
@@ -16,6 +16,11 @@
 	double rate_per_s, burst;
 	/** Service of the route "/read/"; that of "/book/", which is unsafe, is always "shop". */
 	const char *read_service;
+	/**
+	 * Weights of "shop" and "ledger" for the route "/read/", as JSON numbers; NULL for the
+	 * one service read_service.
+	 */
+	const char *shop_weight, *ledger_weight;
 	/** Further routes that no caller uses. */
 	int idle_routes;
 	/** Adds the services "s1", "s2" and so on, each with a safe route "/s1/" and so on. */
--- a/review/stage2/stage.c
+++ b/review/stage2/stage.c
@@ -424,10 +424,15 @@
 		   store_revision());
 }
 
-void stage_store_up(void)
+int stage_keeper(void)
 {
-	store_set_down(false);
-	stage_note("store: back at revision %" PRIu64, store_revision());
+	char text[256];
+	int node;
+
+	if (!store_read("mesh/keeper", text, sizeof(text)) ||
+	    sscanf(text, "sidecar-zone-a-%d ", &node) != 1)
+		return -1;
+	return node - 1;
 }
 
 int stage_call(int node, const char *method, const char *path, const char *key, uint64_t left_ms,
--- a/review/stage2/stage.h
+++ b/review/stage2/stage.h
@@ -90,8 +90,8 @@
  * configuration that the operator writes again at once, next the one that it writes after it.
  */
 void stage_store_back(const char *config, const char *next);
-/** The store is back with all that it held. */
-void stage_store_up(void);
+/** Index of the node that the store names as keeper; -1 if it names none. */
+int stage_keeper(void);
 
 /**
  * Sends one request to a node and waits for the answer; key NULL sends none. Records it and returns
--- a/review/stage2/store.c
+++ b/review/stage2/store.c
@@ -405,6 +405,23 @@
 	return revision;
 }
 
+bool store_read(const char *key, char *out, size_t bytes)
+{
+	const struct item *it;
+	size_t len = 0;
+	bool found;
+
+	pthread_mutex_lock(&lock);
+	expire_leases();
+	it = find_item(key);
+	found = it && it->value &&
+		!sodium_base642bin((unsigned char *)out, bytes - 1, it->value, strlen(it->value),
+				   NULL, &len, NULL, sodium_base64_VARIANT_ORIGINAL);
+	pthread_mutex_unlock(&lock);
+	out[len] = '\0';
+	return found;
+}
+
 void store_copy(void)
 {
 	pthread_mutex_lock(&lock);
