--- a/review/10/main.c
+++ b/review/10/main.c
@@ -2,8 +2,8 @@
  * @file main.c
  * The operator splits a route by weights that are fractions, and then takes a key away. See claim.txt.
  */
-#include "config.h"
-#include "stage.h"
+#include "../stage2/config.h"
+#include "../stage2/stage.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -63,10 +63,10 @@
 	stage_sleep_until(taken_ms + REVOCATION_MS + MARGIN_MS);
 	while (stage_ms() < taken_ms + REVOCATION_MS + MARGIN_MS + OBSERVED_MS) {
 		for (int i = 0; i < NODES; i++) {
-			n_broken += stage_call(i, "GET", "/read/a", "key-old-1f6s", 2000, NULL) ==
-				    200;
-			n_served += stage_call(i, "GET", "/read/a", "key-new-8pjb", 2000, NULL) ==
-				    200;
+			n_broken +=
+				stage_call(i, "GET", "/read/a", "key-old-1f6s", 2000, NULL) == 200;
+			n_served +=
+				stage_call(i, "GET", "/read/a", "key-new-8pjb", 2000, NULL) == 200;
 		}
 		stage_sleep(100);
 	}
--- a/review/6/main.c
+++ b/review/6/main.c
@@ -2,8 +2,8 @@
  * @file main.c
  * The store comes back from a copy, and the operator takes a key away. See claim.txt.
  */
-#include "config.h"
-#include "stage.h"
+#include "../stage2/config.h"
+#include "../stage2/stage.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -79,8 +79,8 @@
 			int status = stage_call(i, "GET", "/read/a", "key-old-1f6s", 2000, NULL);
 
 			n_broken += status == 200;
-			n_served += stage_call(i, "GET", "/read/a", "key-new-8pjb", 2000, NULL) ==
-				    200;
+			n_served +=
+				stage_call(i, "GET", "/read/a", "key-new-8pjb", 2000, NULL) == 200;
 		}
 		stage_sleep(100);
 	}
--- a/review/7/main.c
+++ b/review/7/main.c
@@ -2,8 +2,8 @@
  * @file main.c
  * The store comes back from a copy that names an earlier keeper, during planned restarts. See claim.txt.
  */
-#include "config.h"
-#include "stage.h"
+#include "../stage2/config.h"
+#include "../stage2/stage.h"
 
 #include <inttypes.h>
 #include <pthread.h>
@@ -160,8 +160,8 @@
 	for (int i = 0; i < NODES * CALLERS_PER_NODE; i++)
 		pthread_join(callers[i], NULL);
 	most = largest_window(from_ms, &at_ms);
-	stage_note("largest window of %d ms, at %" PRIu64 " ms: %d requests ran, %.1f may", WINDOW_MS,
-		   at_ms, most, bound);
+	stage_note("largest window of %d ms, at %" PRIu64 " ms: %d requests ran, %.1f may",
+		   WINDOW_MS, at_ms, most, bound);
 	stage_stop();
 	return most > bound ? CASE_BROKEN : CASE_HELD;
 }
--- a/review/9/main.c
+++ b/review/9/main.c
@@ -2,8 +2,8 @@
  * @file main.c
  * The operator adds a tenant whose name has a blank. See claim.txt.
  */
-#include "config.h"
-#include "stage.h"
+#include "../stage2/config.h"
+#include "../stage2/stage.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/review/stage2/http.c
+++ b/review/stage2/http.c
@@ -95,8 +95,11 @@
 			     .tag = tag,
 			     .handler = handler};
 	setsockopt(s->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(s->fd, (struct sockaddr *)&a, sizeof(a)) || listen(s->fd, 512))
+	if (bind(s->fd, (struct sockaddr *)&a, sizeof(a)) || listen(s->fd, 512)) {
+		close(s->fd);
+		free(s);
 		return false;
+	}
 	start_thread(run_server, s);
 	return true;
 }
--- a/review/stage2/stage.h
+++ b/review/stage2/stage.h
@@ -14,7 +14,11 @@
 #define HOST "shop.example"
 
 /** Returned by a case's main(). */
-enum { CASE_HELD = 0, CASE_BROKEN = 1, CASE_NOT_RUN = 2 };
+enum {
+	CASE_HELD = 0,
+	CASE_BROKEN = 1,
+	CASE_NOT_RUN = 2
+};
 
 /** What a node's target does besides answering requests. */
 struct target {
--- a/review/stage2/store.c
+++ b/review/stage2/store.c
@@ -167,8 +167,7 @@
 	struct json_object *list = json_object_new_array();
 
 	for (size_t i = 0; i < now.n_log; i++)
-		if (now.log[i].revision > after &&
-		    !strncmp(now.log[i].key, prefix, strlen(prefix)))
+		if (now.log[i].revision > after && !strncmp(now.log[i].key, prefix, strlen(prefix)))
 			json_object_array_add(list, item_json(&now.log[i]));
 	return list;
 }
