--- a/review/9/main.c
+++ b/review/9/main.c
@@ -1,70 +1,119 @@
 /**
  * @file main.c
- * The operator adds a tenant whose name has a blank. See claim.txt.
+ * A node is restarted after it has acknowledged that its target leaves, while the target's health
+ * answers are false. See claim.txt.
  */
 #include "../stage2/config.h"
 #include "../stage2/stage.h"
 
+#include <inttypes.h>
+#include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
-#define NODES 2
+#define NODES 9
+#define LEAVER (NODES - 1)
 #define READY_MS 15000
-#define REQUESTS 20
+#define DRAIN_MS 2000
+/* A node is in touch again this long after its start. */
+#define STABLE_MS 3000
+#define LIES_MS 6000
+#define SERVES_ON_MS 12000
+#define STOP_MS 6500
+/* Pause between the end of the process and its start. */
+#define RESTART_MS 300
 
-static char *make(uint32_t version, const char *tenant, char *out)
+static const char keys[] = "[\"key-north-1f6s\"]";
+static uint64_t until_ms;
+
+/* Callers of the nodes that nothing happens to. */
+static void *call_steadily(void *arg)
 {
-	return config_write(&(struct config){.version = version,
-					     .keys = "[\"key-north-1f6s\"]",
-					     .rate_per_s = 500,
-					     .burst = 500,
-					     .read_service = "shop",
-					     .more_tenant = tenant,
-					     .more_keys = "[\"key-added-8pjb\"]"},
-			    out);
+	int node = (int)(intptr_t)arg;
+
+	while (stage_ms() < until_ms) {
+		stage_call(node, "GET", "/read/a", "key-north-1f6s", 2000, NULL);
+		stage_sleep(20);
+	}
+	return NULL;
+}
+
+static int not_run(const char *why)
+{
+	stage_note("%s: not run", why);
+	stage_stop();
+	return CASE_NOT_RUN;
 }
 
 int main(int argc, char **argv)
 {
-	const char *tenant = stage_trouble() ? "north shop" : "north-shop";
 	static char text[CONFIG_BYTES];
-	int n, n_wrong = 0, n_right = 0;
+	struct target *t = stage_target(LEAVER);
+	pthread_t callers[NODES];
 	const struct run *runs;
+	uint64_t acked_ms, started_ms, from_ms;
+	int n, n_before = 0, n_late = 0;
 
 	stage_start(argc > 1 ? argv[1] : "record.txt", NODES);
-	stage_target(0)->service = "ledger";
-	stage_target(1)->service = "shop";
-	stage_put_config(make(1, NULL, text));
+	for (int i = 0; i < NODES; i++)
+		stage_target(i)->service = "shop";
+	stage_put_config(config_write(&(struct config){.version = 1,
+						       .keys = keys,
+						       .rate_per_s = 2000,
+						       .burst = 2000,
+						       .read_service = "shop"},
+				      text));
 	stage_start_targets();
 	for (int i = 0; i < NODES; i++)
 		stage_start_node(i, true);
-	for (int i = 0; i < NODES; i++) {
-		if (stage_wait_ready(i, READY_MS))
-			continue;
-		stage_note("node %d is not ready: not run", i + 1);
-		stage_stop();
-		return CASE_NOT_RUN;
-	}
+	for (int i = 0; i < NODES; i++)
+		if (!stage_wait_ready(i, READY_MS))
+			return not_run("a node is not ready");
 	stage_sleep(6000);
-	stage_put_config(make(4, tenant, text));
-	stage_sleep(3000);
-	for (int i = 0; i < REQUESTS; i++)
-		stage_call(0, "GET", "/read/a", "key-added-8pjb", 2000, NULL);
+	until_ms = stage_ms() + 2000 + SERVES_ON_MS;
+	for (int i = 0; i < LEAVER; i++)
+		pthread_create(&callers[i], NULL, call_steadily, (void *)(intptr_t)i);
+	stage_sleep(2000);
+	t->silent = true;
+	t->health_lies = stage_trouble();
+	t->leaving = true;
+	if (stage_target_leave(LEAVER) != 200)
+		return not_run("the leaving is not acknowledged");
+	acked_ms = stage_ms();
+	stage_note("node %d has acknowledged that its target %s leaves", LEAVER + 1, t->id);
+	/* Planned work: the node is stopped and started again on its own. */
+	stage_sleep(200);
+	stage_note("node %d gets SIGTERM", LEAVER + 1);
+	stage_signal_node(LEAVER, SIGTERM);
+	while (!stage_node_ended(LEAVER) && stage_ms() < acked_ms + STOP_MS)
+		stage_sleep(20);
+	if (!stage_node_ended(LEAVER))
+		return not_run("the node has not stopped");
+	stage_sleep(RESTART_MS);
+	stage_start_node(LEAVER, false);
+	started_ms = stage_ms();
+	stage_note("node %d starts again", LEAVER + 1);
+	stage_sleep_until(acked_ms + LIES_MS);
+	if (t->health_lies)
+		stage_note("the target's health answers are true again");
+	t->health_lies = false;
+	for (int i = 0; i < LEAVER; i++)
+		pthread_join(callers[i], NULL);
+	t->ended = true;
+	from_ms = acked_ms + DRAIN_MS;
+	if (from_ms < started_ms + STABLE_MS)
+		from_ms = started_ms + STABLE_MS;
 	runs = stage_runs(&n);
 	for (int i = 0; i < n; i++) {
-		bool right = !strcmp(runs[i].account, tenant) && !strcmp(runs[i].caller, "ledger");
-
-		if (!right && !n_wrong)
-			stage_note("request %s of tenant \"%s\" from a machine of \"ledger\" runs "
-				   "with X-Tenant \"%s\" and X-Caller-Service \"%s\"",
-				   runs[i].id, tenant, runs[i].account, runs[i].caller);
-		n_wrong += !right;
-		n_right += right;
+		n_before += runs[i].node == LEAVER && runs[i].at_ms < acked_ms;
+		n_late += runs[i].node == LEAVER && runs[i].at_ms > from_ms;
 	}
-	stage_note("runs with another tenant or calling service: %d; with the right ones: %d",
-		   n_wrong, n_right);
+	stage_note("requests at the leaving target: %d before; %d later than %" PRIu64
+		   " ms after the acknowledgement",
+		   n_before, n_late, from_ms - acked_ms);
 	stage_stop();
-	if (n_wrong)
+	if (n_late)
 		return CASE_BROKEN;
-	return n_right ? CASE_HELD : CASE_NOT_RUN;
+	return n_before ? CASE_HELD : CASE_NOT_RUN;
 }
--- a/review/stage2/stage.c
+++ b/review/stage2/stage.c
@@ -233,16 +233,16 @@
 	return http_answer(fd, 200, fields, t->service);
 }
 
-int stage_target_report(int node, const char *state)
+static int send_report(int node, const char *state, uint64_t sequence, const char *cold)
 {
-	struct place *p = &places[node];
+	const struct place *p = &places[node];
 	char body[512], request[1024];
 
 	snprintf(body, sizeof(body),
 		 "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
-		 "\"slots\":40,\"state\":\"%s\",\"coldRemaining\":\"0ms\",\"sequence\":%" PRIu64
+		 "\"slots\":40,\"state\":\"%s\",\"coldRemaining\":%s,\"sequence\":%" PRIu64
 		 ",\"born\":%" PRIu64 "}",
-		 p->target.service, p->ip, port(PORT_TARGET), state, ++p->sequence,
+		 p->target.service, p->ip, port(PORT_TARGET), state, cold, sequence,
 		 p->target.born_ms);
 	snprintf(request, sizeof(request),
 		 "PUT /instances/%s HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n"
@@ -251,6 +251,16 @@
 	return http_call(p->ip, port(PORT_REPORT), 1000, request, NULL);
 }
 
+int stage_target_report(int node, const char *state)
+{
+	return send_report(node, state, ++places[node].sequence, "\"0ms\"");
+}
+
+int stage_odd_report(int node, uint64_t sequence)
+{
+	return send_report(node, "ready", sequence, "0");
+}
+
 int stage_target_leave(int node)
 {
 	struct place *p = &places[node];
--- a/review/stage2/stage.h
+++ b/review/stage2/stage.h
@@ -72,6 +72,11 @@
 void stage_target_on(int node);
 /** Sends the target's call "DELETE /instances/ID"; returns the status. */
 int stage_target_leave(int node);
+/**
+ * Sends a heartbeat as another writer would: for the target's id, ready, with a sequence of its own
+ * and a number in place of the text of coldRemaining. Returns the status.
+ */
+int stage_odd_report(int node, uint64_t sequence);
 /** Sends one report with the state; returns the status. */
 int stage_target_report(int node, const char *state);
 
