--- a/standins/mesh/kv.c
+++ b/standins/mesh/kv.c
@@ -26,11 +26,17 @@
 	uint64_t id, ttl_ms, expires_ms;
 };
 
+/** All that the store loses if it comes back from a copy. */
+struct content {
+	struct item items[ITEMS_MAX];
+	struct lease leases[LEASES_MAX];
+	uint64_t revision, compacted_revision, next_lease_id;
+};
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
-static struct item items[ITEMS_MAX];
-static struct lease leases[LEASES_MAX];
-static uint64_t revision = 1, compacted_revision, next_lease_id = 100;
+static struct content now = {.revision = 1, .next_lease_id = 100}, copy;
+static uint64_t copied_ms, era = 1;
 static enum kv_fault fault;
 
 static uint64_t now_ms(void)
@@ -44,8 +50,8 @@
 static struct item *find_item(const char *key)
 {
 	for (int i = 0; i < ITEMS_MAX; i++)
-		if (!strcmp(items[i].key, key))
-			return &items[i];
+		if (!strcmp(now.items[i].key, key))
+			return &now.items[i];
 	return NULL;
 }
 
@@ -55,18 +61,18 @@
 	struct item *it = find_item(key);
 
 	for (int i = 0; i < ITEMS_MAX && !it; i++)
-		if (!items[i].key[0])
-			it = &items[i];
+		if (!now.items[i].key[0])
+			it = &now.items[i];
 	if (!it)
 		abort();
 	if (!it->value)
-		it->created = revision + 1;
+		it->created = now.revision + 1;
 	free(it->value);
 	/* The key of a lease that ends is that of the item itself, which is not copied onto itself. */
 	if (!it->key[0])
 		snprintf(it->key, sizeof(it->key), "%s", key);
 	it->value = value ? strdup(value) : NULL;
-	it->revision = ++revision;
+	it->revision = ++now.revision;
 	it->lease_id = lease_id;
 	pthread_cond_broadcast(&changed);
 }
@@ -74,24 +80,24 @@
 static struct lease *find_lease(uint64_t id)
 {
 	for (int i = 0; i < LEASES_MAX; i++)
-		if (id && leases[i].id == id)
-			return &leases[i];
+		if (id && now.leases[i].id == id)
+			return &now.leases[i];
 	return NULL;
 }
 
 static void end_lease(struct lease *l)
 {
 	for (int i = 0; i < ITEMS_MAX; i++)
-		if (items[i].value && items[i].lease_id == l->id)
-			write_item(items[i].key, NULL, 0);
+		if (now.items[i].value && now.items[i].lease_id == l->id)
+			write_item(now.items[i].key, NULL, 0);
 	l->id = 0;
 }
 
 static void expire_leases(void)
 {
 	for (int i = 0; i < LEASES_MAX; i++)
-		if (leases[i].id && now_ms() >= leases[i].expires_ms)
-			end_lease(&leases[i]);
+		if (now.leases[i].id && now_ms() >= now.leases[i].expires_ms)
+			end_lease(&now.leases[i]);
 }
 
 static struct json_object *item_json(const struct item *it)
@@ -113,11 +119,13 @@
 /* Sends o and releases it; the lock is held by the caller but released while sending. */
 static bool answer_json(int fd, int status, struct json_object *o)
 {
+	char fields[128];
 	bool ok;
 
+	snprintf(fields, sizeof(fields),
+		 "Content-Type: application/json\r\nStore-Era: %" PRIu64 "\r\n", era);
 	pthread_mutex_unlock(&lock);
-	ok = http_answer(fd, status, "Content-Type: application/json\r\n",
-			 json_object_to_json_string(o));
+	ok = http_answer(fd, status, fields, json_object_to_json_string(o));
 	json_object_put(o);
 	pthread_mutex_lock(&lock);
 	return ok;
@@ -132,7 +140,7 @@
 	http_req_query(req, "key", key, sizeof(key));
 	it = find_item(key);
 	o = it && it->value ? item_json(it) : json_object_new_object();
-	json_object_object_add(o, "at", json_object_new_uint64(revision));
+	json_object_object_add(o, "at", json_object_new_uint64(now.revision));
 	return answer_json(fd, it && it->value ? 200 : 404, o);
 }
 
@@ -142,9 +150,9 @@
 	struct json_object *list = json_object_new_array();
 
 	for (int i = 0; i < ITEMS_MAX; i++)
-		if (items[i].key[0] && !strncmp(items[i].key, prefix, strlen(prefix)) &&
-		    items[i].revision > after && (deleted || items[i].value))
-			json_object_array_add(list, item_json(&items[i]));
+		if (now.items[i].key[0] && !strncmp(now.items[i].key, prefix, strlen(prefix)) &&
+		    now.items[i].revision > after && (deleted || now.items[i].value))
+			json_object_array_add(list, item_json(&now.items[i]));
 	return list;
 }
 
@@ -156,7 +164,7 @@
 	http_req_query(req, "prefix", prefix, sizeof(prefix));
 	json_object_object_add(o, "items", items_json(prefix, 0, false));
 	json_object_object_add(o, "hasMore", json_object_new_boolean(0));
-	json_object_object_add(o, "at", json_object_new_uint64(revision));
+	json_object_object_add(o, "at", json_object_new_uint64(now.revision));
 	return answer_json(fd, 200, o);
 }
 
@@ -164,7 +172,7 @@
 {
 	char prefix[KEY_BYTES], number[32];
 	struct json_object *o, *events;
-	uint64_t after, end_ms;
+	uint64_t after, end_ms, first_era = era;
 
 	http_req_query(req, "prefix", prefix, sizeof(prefix));
 	http_req_query(req, "after", number, sizeof(number));
@@ -175,7 +183,9 @@
 		struct timespec ts;
 
 		expire_leases();
-		if (after < compacted_revision)
+		if (era != first_era)
+			return false;
+		if (after < now.compacted_revision || after > now.revision)
 			return answer_json(fd, 410, json_object_new_object());
 		events = items_json(prefix, after, true);
 		if (json_object_array_length(events) || now_ms() >= end_ms || fault != KV_HEALTHY)
@@ -195,7 +205,7 @@
 	}
 	o = json_object_new_object();
 	json_object_object_add(o, "events", events);
-	json_object_object_add(o, "at", json_object_new_uint64(revision));
+	json_object_object_add(o, "at", json_object_new_uint64(now.revision));
 	return answer_json(fd, 200, o);
 }
 
@@ -269,7 +279,7 @@
 		write_item(json_object_get_string(json_object_array_get_idx(deletes, i)), NULL, 0);
 	json_object_put(o);
 	reply = json_object_new_object();
-	json_object_object_add(reply, "revision", json_object_new_uint64(revision));
+	json_object_object_add(reply, "revision", json_object_new_uint64(now.revision));
 	return answer_json(fd, 200, reply);
 }
 
@@ -292,11 +302,11 @@
 	struct lease *l = NULL;
 
 	for (int i = 0; i < LEASES_MAX && !l; i++)
-		if (!leases[i].id)
-			l = &leases[i];
+		if (!now.leases[i].id)
+			l = &now.leases[i];
 	if (!l)
 		abort();
-	l->id = next_lease_id++;
+	l->id = now.next_lease_id++;
 	l->ttl_ms = strtoull(get_text(o, "ttl_time"), NULL, 10);
 	l->expires_ms = now_ms() + l->ttl_ms;
 	json_object_put(o);
@@ -401,7 +411,51 @@
 void kv_compact(void)
 {
 	pthread_mutex_lock(&lock);
-	compacted_revision = ++revision;
+	now.compacted_revision = ++now.revision;
 	pthread_cond_broadcast(&changed);
 	pthread_mutex_unlock(&lock);
 }
+
+static void free_values(struct content *c)
+{
+	for (int i = 0; i < ITEMS_MAX; i++)
+		free(c->items[i].value);
+}
+
+/* Copies all content; from goes on to own its values. */
+static void copy_content(struct content *to, const struct content *from)
+{
+	free_values(to);
+	*to = *from;
+	for (int i = 0; i < ITEMS_MAX; i++)
+		if (from->items[i].value)
+			to->items[i].value = strdup(from->items[i].value);
+}
+
+void kv_copy(void)
+{
+	pthread_mutex_lock(&lock);
+	expire_leases();
+	copy_content(&copy, &now);
+	copied_ms = now_ms();
+	pthread_mutex_unlock(&lock);
+}
+
+bool kv_restore(void)
+{
+	uint64_t passed_ms;
+
+	pthread_mutex_lock(&lock);
+	if (!copied_ms) {
+		pthread_mutex_unlock(&lock);
+		return false;
+	}
+	passed_ms = now_ms() - copied_ms;
+	copy_content(&now, &copy);
+	for (int i = 0; i < LEASES_MAX; i++)
+		now.leases[i].expires_ms += passed_ms;
+	era++;
+	pthread_cond_broadcast(&changed);
+	pthread_mutex_unlock(&lock);
+	return true;
+}
--- a/standins/mesh/kv.h
+++ b/standins/mesh/kv.h
@@ -29,6 +29,16 @@
 /** Sets the fault for later calls; a fault ends waiting watches without a response. */
 void kv_set_fault(enum kv_fault fault);
 
+/** Takes a copy of all items, leases and counters. */
+void kv_copy(void);
+
+/**
+ * Goes back to the last copy: later writes and leases are lost, revisions and leases are given out
+ * again, and a new era begins. Leases of the copy have the lifetime that they had left in it.
+ * Returns false, and does nothing, if there is no copy.
+ */
+bool kv_restore(void);
+
 /** Compacts the history: watches that start before the current revision are answered with 410. */
 void kv_compact(void);
 
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -258,6 +258,11 @@
 			return http_answer(fd, 404, "", "");
 	} else if (!strcmp(command, "compact")) {
 		kv_compact();
+	} else if (!strcmp(command, "copy")) {
+		kv_copy();
+	} else if (!strcmp(command, "restore")) {
+		if (!kv_restore())
+			return http_answer(fd, 409, "", "");
 	} else if (!strncmp(command, "fault/", 6)) {
 		kv_set_fault(!strcmp(command + 6, "refuse")   ? KV_UNAVAILABLE
 			     : !strcmp(command + 6, "silent") ? KV_SILENT
