--- /dev/null
+++ b/include/briarreel/store_era.h
@@ -0,0 +1,51 @@
+/**
+ * @file store_era.h
+ * Orders what is read from a store that may come back from an older copy. Its revisions go back
+ * then and are given out again, and its era rises; a state of the store is therefore named by both.
+ */
+#ifndef BRIARREEL_STORE_ERA_H
+#define BRIARREEL_STORE_ERA_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** A state of the store. The revision 0 is before all states of its era. */
+struct br_position {
+	/** 0 if the store tells none, as earlier ones don't. */
+	uint64_t era;
+	uint64_t revision;
+};
+
+/** Returns less than, equal to, or greater than 0 as a is before, at, or after b. */
+int br_position_compare(const struct br_position *a, const struct br_position *b);
+
+/** The latest known era of the store; all zero before the first answer. */
+struct br_store_era {
+	uint64_t era;
+	bool known;
+	/** Time of the last change of a known era; 0 if there was none. */
+	uint64_t changed_us;
+};
+
+enum br_era_order {
+	/** Of the latest known era. */
+	BR_ERA_CURRENT,
+	/** The first sign of a later era: all that was read and written before may be gone. */
+	BR_ERA_CHANGED,
+	/** Of an earlier era: it says nothing about what the store holds now. */
+	BR_ERA_OUTDATED,
+};
+
+/** Takes note of the era of an answer of the store, or of an era that another node has seen. */
+enum br_era_order br_store_era_observe(struct br_store_era *s, uint64_t era, uint64_t now_us);
+
+/** Tests whether the era has changed less than within_us ago. */
+bool br_store_era_changed_within(const struct br_store_era *s, uint64_t within_us, uint64_t now_us);
+
+/**
+ * Parses the text in which an answer names its era; NULL if it names none. Returns 0 and stores 0
+ * for NULL, or -EINVAL and stores 0 for a text that is not a decimal number of 64 bits.
+ */
+int br_store_era_parse(const char *text, uint64_t *era);
+
+#endif
--- a/mesh/board.h
+++ b/mesh/board.h
@@ -9,6 +9,7 @@
 #include "briarreel/balance.h"
 #include "briarreel/pause.h"
 #include "briarreel/stop.h"
+#include "briarreel/store_era.h"
 #include "mesh/histogram.h"
 #include "mesh/model.h"
 #include "net/conn_pool.h"
@@ -22,7 +23,9 @@
 struct keeper_key {
 	/** Empty if the key is not known or does not exist. */
 	char value[BR_NAME_BYTES + BR_NODE_ID_BYTES];
-	uint64_t lease, revision;
+	uint64_t lease;
+	/** Position of the store at which the key had this state. */
+	struct br_position position;
 };
 
 struct store;
@@ -53,6 +56,7 @@
 	COUNT_FETCHES_KEEPER,
 	COUNT_FETCHES_FAILED,
 	COUNT_QUOTA_FALLBACK,
+	COUNT_STORE_ERA_CHANGES,
 	COUNTERS,
 };
 
@@ -76,9 +80,9 @@
 	struct mesh_config *config;
 	/** Latest time at which the store was known to hold no newer configuration. */
 	uint64_t confirmed_us;
-	/** The configuration's text as the store holds it, and its revision there. */
+	/** The configuration's text as the store holds it, and its position there. */
 	struct buf config_text;
-	uint64_t config_revision;
+	struct br_position config_position;
 	/**
 	 * Called when another node runs a newer version; NULL while there is no config watch. source
 	 * is the peer address of a node that has it, or NULL if that is not known.
@@ -107,10 +111,10 @@
 	/** Random number other than 0 that tells this process from earlier ones of the node. */
 	uint32_t incarnation;
 	/**
-	 * Store revision of the view of the members, and number of times that it was changed, by
-	 * the store or by another node's view.
+	 * Store position of the view of the members, and number of times that it was changed, by
+	 * the store or by another node's view. The view is known if the revision is not 0.
 	 */
-	uint64_t view_revision;
+	struct br_position view_position;
 	uint32_t view_changes;
 	/** Latest state of a keeper's view that this node's view has reached. */
 	struct view_position keeper_view;
--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -21,6 +21,11 @@
 #define RETRY_MAX_MS 800
 /* Before the store reports that its history is lost, watches may miss events for this long. */
 #define EVENT_LOSS_MS 1000
+/*
+ * For this time after the store's return from a copy it may lack a version that other nodes have:
+ * the operator has not written it again yet.
+ */
+#define LOST_WRITES_US (10 * BR_US_PER_S)
 /* Wait of a probe, which asks for the changes since the known revision without blocking. */
 #define PROBE_WAIT_MS 1
 #define CHECK_MS 100
@@ -48,8 +53,11 @@
 	uint64_t keeper_config_us;
 	/** Confirmation age at which this node probes the store itself. */
 	uint64_t probe_due_age_ms;
-	/** Highest store revision seen by a read or watch; 0 to read the configuration again. */
-	uint64_t revision;
+	/**
+	 * Latest store position seen by a read or watch; the revision is 0 to read the
+	 * configuration again.
+	 */
+	struct br_position position;
 	bool call_pending, probe_pending;
 };
 
@@ -80,14 +88,16 @@
 		board_report_version(board, version, source);
 }
 
-static int apply_config(struct board *board, const char *text, size_t len, uint64_t revision)
+static int apply_config(struct board *board, const char *text, size_t len,
+			const struct br_position *position)
 {
 	struct br_error err = {0};
 	struct mesh_config *c = platform_decode_config(text, len, &err);
 
 	if (!c) {
 		EVENT(EVENT_ERROR, "config", "unreadable", EVENT_TEXT("error", err.detail),
-		      EVENT_NUMBER("revision", revision));
+		      EVENT_NUMBER("era", position->era),
+		      EVENT_NUMBER("revision", position->revision));
 		return -EINVAL;
 	}
 	if (board->config && c->version <= board->config->version) {
@@ -96,27 +106,39 @@
 	}
 	EVENT(EVENT_INFO, "config", "in_force", EVENT_NUMBER("version", c->version),
 	      EVENT_NUMBER("before", board->config ? board->config->version : 0),
-	      EVENT_NUMBER("revision", revision), EVENT_NUMBER("routes", c->n_routes),
-	      EVENT_NUMBER("accounts", c->n_accounts));
+	      EVENT_NUMBER("era", position->era), EVENT_NUMBER("revision", position->revision),
+	      EVENT_NUMBER("routes", c->n_routes), EVENT_NUMBER("accounts", c->n_accounts));
 	mesh_config_unref(board->config);
 	board->config = c;
 	buf_free(&board->config_text);
 	buf_append(&board->config_text, text, len);
-	board->config_revision = revision;
+	board->config_position = *position;
 	board_report_progress(board);
 	return 0;
 }
 
+static void advance(struct config_watch *w, const struct br_position *position)
+{
+	if (br_position_compare(position, &w->position) > 0)
+		w->position = *position;
+}
+
 static void apply_items(struct config_watch *w, const struct store_reply *r)
 {
 	for (size_t i = 0; i < r->n_items; i++) {
 		const struct store_item *item = &r->items[i];
+		struct br_position position = store_item_position(r, item);
 
 		if (item->value && !strcmp(item->key, PLATFORM_CONFIG_KEY))
-			(void)apply_config(w->board, item->value, item->len, item->revision);
+			(void)apply_config(w->board, item->value, item->len, &position);
 	}
-	if (r->revision > w->revision)
-		w->revision = r->revision;
+	advance(w, &r->position);
+}
+
+/* True if changes since the known position can be asked for: the store is still in its era. */
+static bool position_known(const struct config_watch *w)
+{
+	return w->position.revision && w->position.era == store_era(w->board->store);
 }
 
 static void on_retry_timer(void *arg)
@@ -155,7 +177,7 @@
 	if (!w->board->config_watch_failed)
 		return;
 	w->board->config_watch_failed = false;
-	EVENT(EVENT_INFO, "config", "store_back", EVENT_NUMBER("revision", w->revision));
+	EVENT(EVENT_INFO, "config", "store_back", EVENT_NUMBER("revision", w->position.revision));
 }
 
 /* Randomized per node, so that the first node to probe can confirm for the others. */
@@ -186,7 +208,7 @@
 	/* If there is no configuration yet, the watch that follows delivers the first one. */
 	if (r->result == STORE_OK)
 		confirm(w->board, w->sent_us);
-	else if (!w->revision)
+	else if (!w->position.revision)
 		schedule_retry(w);
 }
 
@@ -196,7 +218,7 @@
 
 	w->call_pending = false;
 	if (r->result == STORE_COMPACTED)
-		w->revision = 0;
+		w->position.revision = 0;
 	else if (r->result != STORE_OK)
 		on_store_error(w, r);
 	if (r->result != STORE_OK)
@@ -213,7 +235,7 @@
 	w->probe_pending = false;
 	w->probe_due_age_ms = probe_age_ms(w);
 	if (r->result == STORE_COMPACTED)
-		w->revision = 0;
+		w->position.revision = 0;
 	else if (r->result != STORE_OK)
 		on_store_error(w, r);
 	if (r->result != STORE_OK)
@@ -230,13 +252,13 @@
 
 	if (w->board->is_keeper && limit_ms > KEEPER_PROBE_AGE_MS)
 		limit_ms = KEEPER_PROBE_AGE_MS;
-	if (w->probe_pending || w->retry_timer || !w->revision ||
+	if (w->probe_pending || w->retry_timer || !position_known(w) ||
 	    config_confirmation_age_ms(w->board) < limit_ms ||
 	    clock_now_us() - w->keeper_config_us < KEEPER_CONFIRM_US)
 		return;
 	w->probe_pending = true;
 	w->probe_sent_us = clock_now_us();
-	store_watch(w->board->store, PLATFORM_CONFIG_KEY, w->revision, PROBE_WAIT_MS,
+	store_watch(w->board->store, PLATFORM_CONFIG_KEY, &w->position, PROBE_WAIT_MS,
 		    READ_TIMEOUT_MS, on_probe, w);
 }
 
@@ -244,10 +266,10 @@
 {
 	w->call_pending = true;
 	w->sent_us = clock_now_us();
-	if (!w->revision)
+	if (!position_known(w))
 		store_get(w->board->store, PLATFORM_CONFIG_KEY, READ_TIMEOUT_MS, on_read, w);
 	else
-		store_watch(w->board->store, PLATFORM_CONFIG_KEY, w->revision, WATCH_WAIT_MS,
+		store_watch(w->board->store, PLATFORM_CONFIG_KEY, &w->position, WATCH_WAIT_MS,
 			    WATCH_WAIT_MS + WATCH_GRACE_MS, on_watch, w);
 }
 
@@ -267,20 +289,21 @@
 	 * restarted node reads its first configuration at once, since callers wait for it.
 	 */
 	if (!w->board->is_keeper && now_us - w->started_us < FIRST_KEEPER_WAIT_MS * BR_US_PER_MS &&
-	    (w->revision || w->board->settings->first_start))
+	    (w->position.revision || w->board->settings->first_start))
 		return;
 	read_or_watch(w);
 }
 
-int config_watch_apply(struct config_watch *w, const char *text, size_t len, uint64_t revision)
+int config_watch_apply(struct config_watch *w, const char *text, size_t len,
+		       const struct br_position *position)
 {
-	int rc = apply_config(w->board, text, len, revision);
+	int rc = apply_config(w->board, text, len, position);
 
 	if (rc)
 		return rc;
 	w->keeper_config_us = clock_now_us();
-	if (revision > w->revision && !w->call_pending)
-		w->revision = revision;
+	if (!w->call_pending)
+		advance(w, position);
 	return 0;
 }
 
@@ -290,17 +313,17 @@
 
 	if (board_follows_keeper(w->board, clock_now_us()))
 		return;
-	if (w->board->store_unreachable) {
-		if (source)
-			keeper_link_fetch_config(w->link, version, source);
+	if (source && (w->board->store_unreachable ||
+		       store_era_changed_within(w->board->store, LOST_WRITES_US)))
+		keeper_link_fetch_config(w->link, version, source);
+	if (w->board->store_unreachable)
 		return;
-	}
-	if (w->probe_pending || w->retry_timer || !w->revision)
+	if (w->probe_pending || w->retry_timer || !position_known(w))
 		return;
 	/* No keeper delivers the version and a pending watch may miss it: the store is probed. */
 	w->probe_pending = true;
 	w->probe_sent_us = clock_now_us();
-	store_watch(w->board->store, PLATFORM_CONFIG_KEY, w->revision, PROBE_WAIT_MS,
+	store_watch(w->board->store, PLATFORM_CONFIG_KEY, &w->position, PROBE_WAIT_MS,
 		    READ_TIMEOUT_MS, on_probe, w);
 }
 
--- a/mesh/config_watch.h
+++ b/mesh/config_watch.h
@@ -19,11 +19,12 @@
 void config_watch_destroy(struct config_watch *w);
 
 /**
- * Applies a configuration sent by another node: its text and its revision in the store. A version
+ * Applies a configuration sent by another node: its text and its position in the store. A version
  * that is not newer only counts as received. Returns 0 or -EINVAL for an invalid text, which is
  * logged and ignored.
  */
-int config_watch_apply(struct config_watch *w, const char *text, size_t len, uint64_t revision);
+int config_watch_apply(struct config_watch *w, const char *text, size_t len,
+		       const struct br_position *position);
 
 /**
  * True if the configuration was confirmed recently enough to accept a caller's key: a configuration
--- a/mesh/election.c
+++ b/mesh/election.c
@@ -31,8 +31,8 @@
 	/** The key has this node's address: its writer, if another process, has ended. */
 	bool key_has_own_addr;
 	char keeper[BR_NAME_BYTES];
-	/** Store revision at which the keeper, or its absence, was seen. */
-	uint64_t revision;
+	/** Store position at which the keeper, or its absence, was seen. */
+	struct br_position position;
 	uint64_t read_sent_us;
 	/** The keeper's key has been read, so that its absence is known. */
 	bool key_read;
@@ -66,21 +66,22 @@
 {
 	if (self_is_keeper(e) && e->key_has_own_addr && e->lease && e->key_lease != e->lease &&
 	    !e->write_pending && !e->board->stopping)
-		write_key(e, e->revision);
+		write_key(e, e->position.revision);
 }
 
-void election_set_keeper(struct election *e, const char *value, uint64_t lease, uint64_t revision)
+void election_set_keeper(struct election *e, const char *value, uint64_t lease,
+			 const struct br_position *position)
 {
 	char addr_text[BR_NODE_ID_BYTES];
 	struct sockaddr_in addr = {0};
 
 	/* Stale reads may return an older state than the known one. */
-	if (revision < e->revision)
+	if (position->revision < e->position.revision)
 		return;
-	e->revision = revision;
+	e->position = *position;
 	e->key_lease = lease;
 	e->key_read = true;
-	e->board->keeper_key = (struct keeper_key){.lease = lease, .revision = revision};
+	e->board->keeper_key = (struct keeper_key){.lease = lease, .position = *position};
 	if (value)
 		br_copy_text(e->board->keeper_key.value, sizeof(e->board->keeper_key.value), value);
 	if (!value || sscanf(value, "%63s %47s", e->keeper, addr_text) != 2 ||
@@ -110,6 +111,7 @@
 static void on_key_written(void *arg, const struct store_reply *r)
 {
 	struct election *e = arg;
+	struct br_position position = r->position;
 
 	e->write_pending = false;
 	if (r->result == STORE_OK) {
@@ -117,12 +119,14 @@
 
 		mesh_format_addr(&e->board->settings->peer_addr, addr, sizeof(addr));
 		snprintf(value, sizeof(value), "%s %s", e->board->settings->node, addr);
-		election_set_keeper(e, value, e->written_lease, r->revision);
+		election_set_keeper(e, value, e->written_lease, &position);
 	} else if (r->result == STORE_CONFLICT && r->n_items && r->items[0].value) {
-		election_set_keeper(e, r->items[0].value, r->items[0].lease, r->items[0].revision);
+		position = store_item_position(r, &r->items[0]);
+		election_set_keeper(e, r->items[0].value, r->items[0].lease, &position);
 	} else if (r->result == STORE_CONFLICT) {
 		/* The key that was to be taken over has ended with its lease. */
-		election_set_keeper(e, NULL, 0, e->revision);
+		position = e->position;
+		election_set_keeper(e, NULL, 0, &position);
 	} else if (!*e->keeper) {
 		schedule_attempt(e, RETRY_MS);
 	}
@@ -148,20 +152,23 @@
 {
 	struct election *e = arg;
 	bool write_if_absent = e->write_if_absent;
+	struct br_position position = r->position;
 
 	e->read_pending = false;
 	e->write_if_absent = false;
 	/* This node may have become the keeper while the read was pending. */
 	if (holds_key(e))
 		return;
-	if (r->result == STORE_OK && r->n_items && r->items[0].value)
-		election_set_keeper(e, r->items[0].value, r->items[0].lease, r->items[0].revision);
-	else if (r->result == STORE_NOT_FOUND && write_if_absent)
+	if (r->result == STORE_OK && r->n_items && r->items[0].value) {
+		position = store_item_position(r, &r->items[0]);
+		election_set_keeper(e, r->items[0].value, r->items[0].lease, &position);
+	} else if (r->result == STORE_NOT_FOUND && write_if_absent) {
 		write_key(e, 0);
-	else if (r->result == STORE_NOT_FOUND)
-		election_set_keeper(e, NULL, 0, r->revision);
-	else if (write_if_absent)
+	} else if (r->result == STORE_NOT_FOUND) {
+		election_set_keeper(e, NULL, 0, &position);
+	} else if (write_if_absent) {
 		schedule_attempt(e, RETRY_MS);
+	}
 }
 
 static void read_keeper(struct election *e)
--- a/mesh/election.h
+++ b/mesh/election.h
@@ -19,11 +19,12 @@
 
 /**
  * Sets the keeper from the value of ELECTION_KEY (NULL if the key does not exist), the key's lease,
- * and its revision. Revisions older than the last one are ignored. A key of this node with another
+ * and its position. Positions before the last one are ignored. A key of this node with another
  * lease is from an earlier process on the same address, which has ended; this node then renews the
  * key under its own lease.
  */
-void election_set_keeper(struct election *e, const char *value, uint64_t lease, uint64_t revision);
+void election_set_keeper(struct election *e, const char *value, uint64_t lease,
+			 const struct br_position *position);
 
 /**
  * Starts a stale read of ELECTION_KEY, at most once per 400 ms; its result sets the keeper. Call
--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -133,25 +133,36 @@
 static void apply_keeper_key(struct keeper_link *l, const struct http_msg *msg)
 {
 	const char *text = http_msg_find_field(msg, KEEPER_KEY_FIELD);
-	struct keeper_key key;
+	struct keeper_key key = {0};
 	int value_at = 0;
 
 	if (!l->receiver.keeper || !text ||
-	    sscanf(text, "%" SCNu64 " %" SCNu64 " %n", &key.revision, &key.lease, &value_at) != 2 ||
+	    sscanf(text, "%" SCNu64 " %" SCNu64 " %n", &key.position.revision, &key.lease,
+		   &value_at) != 2 ||
 	    !value_at || !text[value_at] ||
 	    !br_copy_text(key.value, sizeof(key.value), text + value_at))
 		return;
 	l->receiver.keeper(l->receiver.ctx, &key);
 }
 
+/* Reads KEEPER_REVISION_FIELD; nodes of earlier versions don't tell the era. */
+static bool read_config_position(const struct http_msg *msg, struct br_position *out)
+{
+	const char *text = http_msg_find_field(msg, KEEPER_REVISION_FIELD);
+
+	*out = (struct br_position){0};
+	return text && sscanf(text, "%" SCNu64 " %" SCNu64, &out->revision, &out->era) >= 1;
+}
+
 static bool apply_answer(struct keeper_link *l, const struct http_msg *msg)
 {
-	const char *revision = http_msg_find_field(msg, KEEPER_REVISION_FIELD);
 	struct view_position source, reached;
+	struct br_position position;
 
 	if (!l->fetching_view)
-		return revision && !l->receiver.config(l->receiver.ctx, msg->body.data,
-						       msg->body.len, strtoull(revision, NULL, 10));
+		return read_config_position(msg, &position) &&
+		       !l->receiver.config(l->receiver.ctx, msg->body.data, msg->body.len,
+					   &position);
 	if (!read_view_field(msg, &source, &reached) ||
 	    l->receiver.view(l->receiver.ctx, msg->body.data, msg->body.len))
 		return false;
@@ -344,7 +355,8 @@
 	    board->config->version < version)
 		return false;
 	buf_append(body, board->config_text.data, board->config_text.len);
-	buf_printf(fields, KEEPER_REVISION_FIELD ": %" PRIu64 "\r\n", board->config_revision);
+	buf_printf(fields, KEEPER_REVISION_FIELD ": %" PRIu64 " %" PRIu64 "\r\n",
+		   board->config_position.revision, board->config_position.era);
 	return true;
 }
 
@@ -358,7 +370,7 @@
 		   found ? "200 OK" : "404 Not Found", body.len);
 	if (*board->keeper_key.value)
 		buf_printf(out, KEEPER_KEY_FIELD ": %" PRIu64 " %" PRIu64 " %s\r\n",
-			   board->keeper_key.revision, board->keeper_key.lease,
+			   board->keeper_key.position.revision, board->keeper_key.lease,
 			   board->keeper_key.value);
 	buf_append(out, fields.data, fields.len);
 	buf_append_text(out, "\r\n");
--- a/mesh/keeper_link.h
+++ b/mesh/keeper_link.h
@@ -22,7 +22,7 @@
  * in the keeper's view that the body reaches.
  */
 #define KEEPER_VIEW_FIELD "Br-View"
-/** Header field of the answer: store revision of the configuration in the body. */
+/** Header field of the answer: store revision and era of the configuration in the body. */
 #define KEEPER_REVISION_FIELD "Br-Revision"
 
 /**
@@ -50,8 +50,8 @@
 
 /** Receives what was fetched. Its functions return 0, or a negative error number. */
 struct keeper_receiver {
-	/** Text of a configuration and its revision in the store. */
-	int (*config)(void *ctx, const char *text, size_t len, uint64_t revision);
+	/** Text of a configuration and its position in the store. */
+	int (*config)(void *ctx, const char *text, size_t len, const struct br_position *position);
 	/** A view of the members (mesh/view_format.h). */
 	int (*view)(void *ctx, const char *bytes, size_t len);
 	/** Another node's knowledge of the keeper's key, which may be older than the own; or NULL. */
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -253,11 +253,22 @@
 	histogram_record(&b->times[TIME_STORE], time_us);
 }
 
-static int on_fetched_config(void *ctx, const char *text, size_t len, uint64_t revision)
+static void on_store_era(void *ctx, uint64_t from, uint64_t to)
 {
 	struct node *n = ctx;
 
-	return config_watch_apply(n->config_watch, text, len, revision);
+	EVENT(EVENT_WARNING, "store", "era_changed", EVENT_NUMBER("from", from),
+	      EVENT_NUMBER("to", to), EVENT_NUMBER("keeper", n->board.is_keeper));
+	board_count(&n->board, COUNT_STORE_ERA_CHANGES);
+}
+
+static int on_fetched_config(void *ctx, const char *text, size_t len,
+			     const struct br_position *position)
+{
+	struct node *n = ctx;
+
+	store_hear_era(n->board.store, position->era);
+	return config_watch_apply(n->config_watch, text, len, position);
 }
 
 static int on_fetched_view(void *ctx, const char *bytes, size_t len)
@@ -271,8 +282,8 @@
 {
 	struct node *n = ctx;
 
-	if (key->revision > n->board.keeper_key.revision)
-		election_set_keeper(n->election, key->value, key->lease, key->revision);
+	if (key->position.revision > n->board.keeper_key.position.revision)
+		election_set_keeper(n->election, key->value, key->lease, &key->position);
 }
 
 static int start(struct node *n)
@@ -297,6 +308,7 @@
 	BR_INVARIANT(b->balance);
 	b->store = store_create(b->loop, &n->settings.store_addr);
 	store_set_observer(b->store, on_store_time, b);
+	store_set_era_observer(b->store, on_store_era, n);
 	b->members = members_create(b);
 	b->target = target_create(b, on_target_changed, n);
 	b->target_search = target_search_create(b);
--- a/mesh/members.c
+++ b/mesh/members.c
@@ -312,6 +312,14 @@
 	return &ms->entries[i]->member;
 }
 
+struct member *members_find_host(struct members *ms, struct in_addr host)
+{
+	for (size_t i = 0; i < ms->n; i++)
+		if (ms->entries[i]->member.addr.sin_addr.s_addr == host.s_addr)
+			return &ms->entries[i]->member;
+	return NULL;
+}
+
 struct member *members_find(struct members *ms, const char *node)
 {
 	struct member_entry *e = find(ms, node);
--- a/mesh/members.h
+++ b/mesh/members.h
@@ -69,5 +69,7 @@
 size_t members_count(const struct members *ms);
 struct member *members_at(struct members *ms, size_t i);
 struct member *members_find(struct members *ms, const char *node);
+/** Finds a member by the host of its peer address; NULL if there is none. */
+struct member *members_find_host(struct members *ms, struct in_addr host);
 
 #endif
--- a/mesh/metrics.c
+++ b/mesh/metrics.c
@@ -35,6 +35,8 @@
 	[COUNT_FETCHES_FAILED] = {"fetches_failed_total", "Fetches that failed."},
 	[COUNT_QUOTA_FALLBACK] = {"quota_fallback_total",
 				  "Requests admitted by this node's part of a rate."},
+	[COUNT_STORE_ERA_CHANGES] = {"store_era_changes_total",
+				     "Times that the store came back from an older copy."},
 };
 
 static const struct {
@@ -104,6 +106,8 @@
 		   "# TYPE briarreel_store_calls_total counter\n"
 		   "briarreel_store_calls_total %" PRIu64 "\n",
 		   store_call_count(b->store));
+	buf_printf(out, "# TYPE briarreel_store_era gauge\nbriarreel_store_era %" PRIu64 "\n",
+		   store_era(b->store));
 	buf_printf(out,
 		   "# TYPE briarreel_target_connections_total counter\n"
 		   "briarreel_target_connections_total %" PRIu64 "\n",
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -78,7 +78,7 @@
  */
 static bool members_known(const struct quota *q)
 {
-	return q->board->view_revision != 0;
+	return q->board->view_position.revision != 0;
 }
 
 /* If there is no keeper or it does not answer, a node spends an equal part of each rate. */
@@ -269,6 +269,19 @@
 		q->unanswered_since_us = now_us;
 }
 
+/* Reports the configuration version of the node that has sent a datagram. */
+static void report_version(struct quota *q, uint64_t version, const struct sockaddr *from)
+{
+	const struct member *m = NULL;
+
+	if (q->board->config && version <= q->board->config->version)
+		return;
+	if (from->sa_family == AF_INET)
+		m = members_find_host(q->board->members,
+				      ((const struct sockaddr_in *)from)->sin_addr);
+	board_report_version(q->board, version, m ? &m->addr : NULL);
+}
+
 static void on_request(struct quota *q, const struct sockaddr *from,
 		       const struct keeper_message *in)
 {
@@ -282,7 +295,7 @@
 	if (!q->allocator || was_paused(q, now_us) || !members_known(q) ||
 	    br_quota_allocator_heartbeat(q->allocator, in->node_hash, now_us))
 		return;
-	board_report_version(q->board, in->version, NULL);
+	report_version(q, in->version, from);
 	out.type = KEEPER_GRANT;
 	fill_sender_state(q, &out);
 	for (uint32_t i = 0; i < out.n_rows; i++) {
--- a/mesh/view_format.c
+++ b/mesh/view_format.c
@@ -24,7 +24,9 @@
 		else
 			json_object_object_add(list, m->node, members_entry_json(m));
 	}
-	json_object_object_add(o, "revision", json_object_new_uint64(board->view_revision));
+	json_object_object_add(o, "era", json_object_new_uint64(board->view_position.era));
+	json_object_object_add(o, "revision",
+			       json_object_new_uint64(board->view_position.revision));
 	json_object_object_add(o, "whole", json_object_new_boolean(!since));
 	json_object_object_add(o, "members", list);
 	json_object_object_add(o, "missing", missing);
@@ -52,7 +54,7 @@
 	}
 }
 
-int view_read(struct members *ms, const char *bytes, size_t len, uint64_t *revision)
+int view_read(struct members *ms, const char *bytes, size_t len, struct br_position *position)
 {
 	struct json_object *o = json_parse_object(bytes, len);
 	struct json_object *list = o ? json_member_object(o, "members") : NULL;
@@ -60,7 +62,10 @@
 	uint64_t started_us = clock_now_us();
 	int rc = -EINVAL;
 
-	if (list && missing && json_member_u64(o, "revision", revision)) {
+	if (list && missing && json_member_u64(o, "revision", &position->revision)) {
+		/* Nodes of earlier versions don't tell the era. */
+		if (!json_member_u64(o, "era", &position->era))
+			position->era = 0;
 		read_members(ms, list);
 		read_missing(ms, missing);
 		if (json_member_bool(o, "whole"))
--- a/mesh/view_format.h
+++ b/mesh/view_format.h
@@ -11,9 +11,9 @@
 void view_write(const struct board *board, uint32_t since, struct buf *out);
 
 /**
- * Applies a view to the members and sets its store revision. Returns 0, or -EINVAL and changes
+ * Applies a view to the members and sets its store position. Returns 0, or -EINVAL and changes
  * nothing if it is not a view; single entries that cannot be used are skipped.
  */
-int view_read(struct members *ms, const char *bytes, size_t len, uint64_t *revision);
+int view_read(struct members *ms, const char *bytes, size_t len, struct br_position *position);
 
 #endif
--- a/mesh/view_watch.c
+++ b/mesh/view_watch.c
@@ -47,10 +47,11 @@
 	struct presence *presence;
 	struct timer *check_timer, *pause_timer, *missing_timer;
 	/**
-	 * Store revision up to which the view is complete, 0 if it must be read again; revision and
-	 * start time of the last range read.
+	 * Store position up to which the view is complete; the revision is 0 if it must be read
+	 * again. Position and start time of the last range read.
 	 */
-	uint64_t revision, range_revision, range_started_us;
+	struct br_position position, range_position;
+	uint64_t range_started_us;
 	/** Last key of the previous page of a range read; empty for the first page. */
 	char range_after[STORE_KEY_BYTES];
 	/** keeper_key_found: ELECTION_KEY existed when it was last read or changed. */
@@ -68,8 +69,11 @@
 	       members_put(w->board->members, node, item->value, item->len);
 }
 
-static void apply_item(struct view_watch *w, const struct store_item *item)
+static void apply_item(struct view_watch *w, const struct store_reply *r,
+		       const struct store_item *item)
 {
+	struct br_position position = store_item_position(r, item);
+
 	if (!strncmp(item->key, MEMBERS_PREFIX, strlen(MEMBERS_PREFIX))) {
 		const char *node = item->key + strlen(MEMBERS_PREFIX);
 		bool usable = apply_entry(w, node, item);
@@ -83,7 +87,7 @@
 	} else if (!strcmp(item->key, ELECTION_KEY) && !item->unreadable) {
 		w->keeper_key_found = !item->deleted;
 		election_set_keeper(w->election, item->deleted ? NULL : item->value, item->lease,
-				    item->revision);
+				    &position);
 	}
 }
 
@@ -110,10 +114,16 @@
 	w->pause_timer = timer_start(w->board->loop, ms, on_pause_timer, w);
 }
 
-static void set_revision(struct view_watch *w, uint64_t revision)
+static void set_position(struct view_watch *w, const struct br_position *position)
+{
+	w->position = *position;
+	w->board->view_position = *position;
+}
+
+/* True if changes since the known position can be asked for: the store is still in its era. */
+static bool position_known(const struct view_watch *w)
 {
-	w->revision = revision;
-	w->board->view_revision = revision;
+	return w->position.revision && w->position.era == store_era(w->board->store);
 }
 
 static void count_change(struct view_watch *w)
@@ -129,15 +139,15 @@
 
 	w->call_pending = false;
 	if (r->result == STORE_COMPACTED)
-		w->revision = 0;
+		w->position.revision = 0;
 	else if (r->result != STORE_OK)
 		pause_calls(w, RETRY_MS);
 	if (r->result != STORE_OK)
 		return;
 	for (size_t i = 0; i < r->n_items; i++)
-		apply_item(w, &r->items[i]);
-	if (r->revision > w->revision)
-		set_revision(w, r->revision);
+		apply_item(w, r, &r->items[i]);
+	if (br_position_compare(&r->position, &w->position) > 0)
+		set_position(w, &r->position);
 	if (!r->n_items)
 		return;
 	pause_calls(w, pause_ms(w));
@@ -155,14 +165,14 @@
 static void finish_range(struct view_watch *w)
 {
 	w->call_pending = false;
-	set_revision(w, w->range_revision);
+	set_position(w, &w->range_position);
 	count_change(w);
 	/* An election may be in progress; once elected, the keeper watches for all nodes. */
 	pause_calls(w, ELECTION_MS);
 	timer_cancel(&w->missing_timer);
 	w->missing_timer = timer_start(w->board->loop, REREGISTER_MS, on_missing_timer, w);
 	if (!w->keeper_key_found)
-		election_set_keeper(w->election, NULL, 0, w->range_revision);
+		election_set_keeper(w->election, NULL, 0, &w->range_position);
 }
 
 static void on_range(void *arg, const struct store_reply *r)
@@ -170,16 +180,18 @@
 	struct view_watch *w = arg;
 	const char *next = store_next_page(r);
 
-	if (r->result != STORE_OK) {
+	/* Pages of two eras are no whole view. */
+	if (r->result != STORE_OK ||
+	    (w->range_after[0] && r->position.era != w->range_position.era)) {
 		w->call_pending = false;
 		w->range_after[0] = '\0';
 		pause_calls(w, RETRY_MS);
 		return;
 	}
 	if (!w->range_after[0])
-		w->range_revision = r->revision;
+		w->range_position = r->position;
 	for (size_t i = 0; i < r->n_items; i++)
-		apply_item(w, &r->items[i]);
+		apply_item(w, r, &r->items[i]);
 	if (next && br_copy_text(w->range_after, sizeof(w->range_after), next)) {
 		store_range(w->board->store, MESH_PREFIX, w->range_after, CALL_TIMEOUT_MS, on_range,
 			    w);
@@ -192,7 +204,7 @@
 /* True while the node waits for a keeper, which delivers the members without calls to the store. */
 static bool waits_for_keeper(const struct view_watch *w, uint64_t now_us)
 {
-	if (w->revision)
+	if (w->position.revision)
 		return now_us - w->no_keeper_since_us < NEXT_KEEPER_WAIT_US;
 	/* A restarted node reads the members at once, since callers wait for it. */
 	return w->board->settings->first_start &&
@@ -217,12 +229,12 @@
 		return;
 	}
 	w->call_pending = true;
-	if (!w->revision) {
+	if (!position_known(w)) {
 		w->keeper_key_found = false;
 		w->range_started_us = clock_now_us();
 		store_range(w->board->store, MESH_PREFIX, "", CALL_TIMEOUT_MS, on_range, w);
 	} else {
-		store_watch(w->board->store, MESH_PREFIX, w->revision, WATCH_WAIT_MS,
+		store_watch(w->board->store, MESH_PREFIX, &w->position, WATCH_WAIT_MS,
 			    WATCH_WAIT_MS + WATCH_GRACE_MS, on_watch, w);
 	}
 }
@@ -252,14 +264,15 @@
 
 int view_watch_apply(struct view_watch *w, const char *bytes, size_t len)
 {
-	uint64_t revision;
+	struct br_position position;
 
-	if (view_read(w->board->members, bytes, len, &revision)) {
+	if (view_read(w->board->members, bytes, len, &position)) {
 		EVENT(EVENT_WARNING, "view", "unreadable", EVENT_NUMBER("bytes", len));
 		return -EINVAL;
 	}
+	store_hear_era(w->board->store, position.era);
 	w->board->view_changes++;
 	if (!w->call_pending)
-		set_revision(w, revision);
+		set_position(w, &position);
 	return 0;
 }
--- a/tests/unit/mesh_keeper.c
+++ b/tests/unit/mesh_keeper.c
@@ -21,19 +21,19 @@
 	uint64_t until_us;
 };
 
-static int on_config(void *ctx, const char *text, size_t len, uint64_t revision)
+static int on_config(void *ctx, const char *text, size_t len, const struct br_position *position)
 {
 	(void)ctx;
 	(void)text;
 	(void)len;
-	(void)revision;
+	(void)position;
 	cr_assert_fail("no fetch can succeed");
 	return 0;
 }
 
 static int on_view(void *ctx, const char *bytes, size_t len)
 {
-	return on_config(ctx, bytes, len, 0);
+	return on_config(ctx, bytes, len, NULL);
 }
 
 static const struct keeper_receiver receiver = {.config = on_config, .view = on_view};
--- a/tests/unit/mesh_quota.c
+++ b/tests/unit/mesh_quota.c
@@ -68,7 +68,7 @@
 	n->board = (struct board){.loop = uv_default_loop(),
 				  .settings = &n->settings,
 				  .config = &f.config,
-				  .view_revision = 1};
+				  .view_position.revision = 1};
 	br_rng_seed(&n->board.rng, (uint64_t)i + 1);
 	n->board.balance = br_balance_create(0);
 	n->board.members = members_create(&n->board);
@@ -200,7 +200,7 @@
 {
 	start(RATE_PER_S);
 	run_ms(100);
-	f.nodes[1].board.view_revision = 0;
+	f.nodes[1].board.view_position.revision = 0;
 	quota_set_keeper(f.nodes[1].quota, "", NULL, 0);
 	run_ms(500);
 	take_all(300);
--- /dev/null
+++ b/tests/unit/store_era.c
@@ -0,0 +1,64 @@
+#include "briarreel/store_era.h"
+
+#include "briarreel/types.h"
+
+#include <criterion/criterion.h>
+#include <errno.h>
+
+/* Guards against a revision that is taken for older since the store has given it out again. */
+Test(store_era, later_era_comes_after_any_revision)
+{
+	const struct br_position lost = {.era = 1, .revision = 900};
+	const struct br_position again = {.era = 2, .revision = 8};
+	const struct br_position next = {.era = 2, .revision = 9};
+
+	cr_assert_gt(br_position_compare(&again, &lost), 0);
+	cr_assert_lt(br_position_compare(&lost, &again), 0);
+	cr_assert_gt(br_position_compare(&next, &again), 0);
+	cr_assert_eq(br_position_compare(&again, &again), 0);
+}
+
+/* A store of an earlier version tells no era, and its revisions are in order as before. */
+Test(store_era, store_without_eras)
+{
+	struct br_store_era s = {0};
+
+	cr_assert_eq(br_store_era_observe(&s, 0, 10), BR_ERA_CURRENT);
+	cr_assert_eq(br_store_era_observe(&s, 0, 20), BR_ERA_CURRENT);
+	cr_assert_not(br_store_era_changed_within(&s, UINT64_MAX, 30));
+	/* It is replaced by one that tells them. */
+	cr_assert_eq(br_store_era_observe(&s, 1, 40), BR_ERA_CHANGED);
+	cr_assert_eq(br_store_era_observe(&s, 0, 50), BR_ERA_OUTDATED);
+}
+
+/* Guards against an answer that was sent before the store's return and is believed after it. */
+Test(store_era, answer_of_an_earlier_era_is_outdated)
+{
+	struct br_store_era s = {0};
+
+	cr_assert_eq(br_store_era_observe(&s, 7, 10), BR_ERA_CURRENT);
+	cr_assert_not(br_store_era_changed_within(&s, BR_US_PER_S, 10));
+	cr_assert_eq(br_store_era_observe(&s, 9, BR_US_PER_S), BR_ERA_CHANGED);
+	cr_assert_eq(br_store_era_observe(&s, 8, BR_US_PER_S + 1), BR_ERA_OUTDATED);
+	cr_assert_eq(br_store_era_observe(&s, 9, BR_US_PER_S + 2), BR_ERA_CURRENT);
+	cr_assert_eq(s.era, 9);
+	cr_assert(br_store_era_changed_within(&s, BR_US_PER_S, 2 * BR_US_PER_S - 1));
+	cr_assert_not(br_store_era_changed_within(&s, BR_US_PER_S, 2 * BR_US_PER_S));
+}
+
+Test(store_era, text_of_an_era)
+{
+	static const char *const odd[] = {
+		"", " 1", "+1", "-1", "1 ", "0x1", "1.0", "one", "18446744073709551616"};
+	uint64_t era = 3;
+
+	cr_assert_eq(br_store_era_parse(NULL, &era), 0);
+	cr_assert_eq(era, 0);
+	cr_assert_eq(br_store_era_parse("18446744073709551615", &era), 0);
+	cr_assert_eq(era, UINT64_MAX);
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		era = 3;
+		cr_assert_eq(br_store_era_parse(odd[i], &era), -EINVAL, "\"%s\"", odd[i]);
+		cr_assert_eq(era, 0, "\"%s\"", odd[i]);
+	}
+}
