--- a/mesh/main.c
+++ b/mesh/main.c
@@ -253,6 +253,7 @@
 	histogram_record(&b->times[TIME_STORE], time_us);
 }
 
+/* The lease and all that other nodes do not write is written again; watches read again. */
 static void on_store_era(void *ctx, uint64_t from, uint64_t to)
 {
 	struct node *n = ctx;
@@ -260,6 +261,8 @@
 	EVENT(EVENT_WARNING, "store", "era_changed", EVENT_NUMBER("from", from),
 	      EVENT_NUMBER("to", to), EVENT_NUMBER("keeper", n->board.is_keeper));
 	board_count(&n->board, COUNT_STORE_ERA_CHANGES);
+	if (n->presence)
+		presence_start_again(n->presence);
 }
 
 static int on_fetched_config(void *ctx, const char *text, size_t len,
--- a/mesh/presence.c
+++ b/mesh/presence.c
@@ -11,7 +11,6 @@
 #include <stdlib.h>
 
 #define CALL_TIMEOUT_MS 1000
-#define LEASE_MS 3000
 /* Interval between renewals: two may fail before the lease expires. */
 #define RENEW_INTERVAL_MS 1000
 #define RENEW_TIMEOUT_MS 600
@@ -19,6 +18,11 @@
 #define KEEPER_RENEW_INTERVAL_MS 400
 #define KEEPER_RENEW_TIMEOUT_MS 400
 #define RETRY_MS 400
+/*
+ * After a change of the store's era all nodes get new leases and write their entries: two writes
+ * each, of which the store takes hundreds a second.
+ */
+#define RESTART_PER_NODE_MS 2
 /* The first entry waits at most this long for the target's first report, which saves a write. */
 #define FIRST_REPORT_MS 2500
 
@@ -29,6 +33,8 @@
 	uint64_t lease, sent_us, first_write_until_us;
 	struct timer *renew_timer, *write_timer;
 	bool lease_call_pending, write_pending, write_again, store_unreachable;
+	/** This node was the keeper when the store's era changed. */
+	bool was_keeper;
 	void (*leave_done)(void *ctx);
 	void *leave_done_ctx;
 };
@@ -67,11 +73,18 @@
 		return;
 	}
 	p->lease = r->lease;
-	p->on_lease(p->ctx, p->lease, p->sent_us + LEASE_MS * BR_US_PER_MS);
+	p->on_lease(p->ctx, p->lease, p->sent_us + PRESENCE_LEASE_MS * BR_US_PER_MS);
 	presence_write(p);
 	schedule_renewal(p, RENEW_INTERVAL_MS);
 }
 
+static uint64_t restart_delay_ms(const struct presence *p)
+{
+	uint64_t spread_ms = RESTART_PER_NODE_MS * members_count(p->board->members);
+
+	return p->was_keeper ? 0 : br_rng_below(&p->board->rng, spread_ms + 1);
+}
+
 static void start_lease(struct presence *p)
 {
 	uint64_t min_ms = p->board->settings->lease_min_ms;
@@ -82,8 +95,8 @@
 	p->lease = 0;
 	p->sent_us = clock_now_us();
 	p->on_lease(p->ctx, 0, 0);
-	store_grant_lease(p->board->store, min_ms > LEASE_MS ? min_ms : LEASE_MS, CALL_TIMEOUT_MS,
-			  on_lease_reply, p);
+	store_grant_lease(p->board->store, min_ms > PRESENCE_LEASE_MS ? min_ms : PRESENCE_LEASE_MS,
+			  CALL_TIMEOUT_MS, on_lease_reply, p);
 }
 
 static void on_renewal_reply(void *arg, const struct store_reply *r)
@@ -92,13 +105,18 @@
 
 	p->lease_call_pending = false;
 	set_store_reachable(p, r->result == STORE_OK || r->result == STORE_NOT_FOUND, r->status);
+	/* presence_start_again() has given up the lease meanwhile. */
+	if (!p->lease) {
+		schedule_renewal(p, restart_delay_ms(p));
+		return;
+	}
 	if (r->result == STORE_NOT_FOUND) {
 		EVENT(EVENT_WARNING, "presence", "lease_ended", EVENT_NUMBER("lease", p->lease));
 		start_lease(p);
 		return;
 	}
 	if (r->result == STORE_OK)
-		p->on_lease(p->ctx, p->lease, p->sent_us + LEASE_MS * BR_US_PER_MS);
+		p->on_lease(p->ctx, p->lease, p->sent_us + PRESENCE_LEASE_MS * BR_US_PER_MS);
 	schedule_renewal(p, r->result != STORE_OK ? RETRY_MS
 			    : p->board->is_keeper ? KEEPER_RENEW_INTERVAL_MS
 						  : RENEW_INTERVAL_MS);
@@ -195,6 +213,18 @@
 	free(p);
 }
 
+void presence_start_again(struct presence *p)
+{
+	if (p->leave_done)
+		return;
+	p->was_keeper = p->board->is_keeper;
+	p->lease = 0;
+	p->on_lease(p->ctx, 0, 0);
+	/* The callback of a pending call goes on from here. */
+	if (!p->lease_call_pending)
+		schedule_renewal(p, restart_delay_ms(p));
+}
+
 static void on_lease_ended(void *arg, const struct store_reply *r)
 {
 	struct presence *p = arg;
--- a/mesh/presence.h
+++ b/mesh/presence.h
@@ -9,6 +9,9 @@
 
 struct presence;
 
+/** Lifetime of a node's lease. */
+#define PRESENCE_LEASE_MS 3000
+
 /**
  * on_lease is called when the lease was granted or renewed, and with (0, 0) while there is none:
  * first during this call, then before each new grant.
@@ -24,6 +27,14 @@
  */
 void presence_write(struct presence *p);
 
+/**
+ * Gets a new lease and writes the entry under it, since the store has lost what was written lately:
+ * it may have given the id of the old lease to another node, and the entry may be an older one. The
+ * keeper goes first; the others are spread over a time that grows with their number, for the
+ * store's limit on writes.
+ */
+void presence_start_again(struct presence *p);
+
 /**
  * Ends the lease, so that other nodes need not wait for it to expire, and then calls done, also if
  * the call to the store fails.
