--- a/mesh/board.h
+++ b/mesh/board.h
@@ -106,6 +106,11 @@
 	struct keeper_key keeper_key;
 	/** This node is the keeper and its lease was valid at the last check; see election.h. */
 	bool is_keeper;
+	/**
+	 * Until then another node may still act as the keeper although this one is, since it has
+	 * not noticed yet that the store has lost its election.
+	 */
+	uint64_t other_keeper_until_us;
 	/** Time until which the keeper's answers replace calls to the store; 0 without a keeper. */
 	uint64_t follow_until_us;
 	/** Random number other than 0 that tells this process from earlier ones of the node. */
--- a/mesh/election.c
+++ b/mesh/election.c
@@ -64,8 +64,10 @@
  */
 static void take_over_key(struct election *e)
 {
+	/* A revision of an earlier era may be another node's key by now. */
 	if (self_is_keeper(e) && e->key_has_own_addr && e->lease && e->key_lease != e->lease &&
-	    !e->write_pending && !e->board->stopping)
+	    e->position.era == store_era(e->board->store) && !e->write_pending &&
+	    !e->board->stopping)
 		write_key(e, e->position.revision);
 }
 
@@ -76,7 +78,7 @@
 	struct sockaddr_in addr = {0};
 
 	/* Stale reads may return an older state than the known one. */
-	if (position->revision < e->position.revision)
+	if (br_position_compare(position, &e->position) < 0)
 		return;
 	e->position = *position;
 	e->key_lease = lease;
@@ -125,7 +127,8 @@
 		election_set_keeper(e, r->items[0].value, r->items[0].lease, &position);
 	} else if (r->result == STORE_CONFLICT) {
 		/* The key that was to be taken over has ended with its lease. */
-		position = e->position;
+		if (br_position_compare(&position, &e->position) < 0)
+			position = e->position;
 		election_set_keeper(e, NULL, 0, &position);
 	} else if (!*e->keeper) {
 		schedule_attempt(e, RETRY_MS);
--- a/mesh/keeper_link.c
+++ b/mesh/keeper_link.c
@@ -133,13 +133,14 @@
 static void apply_keeper_key(struct keeper_link *l, const struct http_msg *msg)
 {
 	const char *text = http_msg_find_field(msg, KEEPER_KEY_FIELD);
-	struct keeper_key key = {0};
+	const char *era = http_msg_find_field(msg, KEEPER_KEY_ERA_FIELD);
+	struct keeper_key key;
 	int value_at = 0;
 
 	if (!l->receiver.keeper || !text ||
 	    sscanf(text, "%" SCNu64 " %" SCNu64 " %n", &key.position.revision, &key.lease,
 		   &value_at) != 2 ||
-	    !value_at || !text[value_at] ||
+	    br_store_era_parse(era, &key.position.era) || !value_at || !text[value_at] ||
 	    !br_copy_text(key.value, sizeof(key.value), text + value_at))
 		return;
 	l->receiver.keeper(l->receiver.ctx, &key);
@@ -369,9 +370,11 @@
 	buf_printf(out, "HTTP/1.1 %s\r\nContent-Length: %zu\r\n",
 		   found ? "200 OK" : "404 Not Found", body.len);
 	if (*board->keeper_key.value)
-		buf_printf(out, KEEPER_KEY_FIELD ": %" PRIu64 " %" PRIu64 " %s\r\n",
+		buf_printf(out,
+			   KEEPER_KEY_FIELD ": %" PRIu64 " %" PRIu64 " %s\r\n" KEEPER_KEY_ERA_FIELD
+					    ": %" PRIu64 "\r\n",
 			   board->keeper_key.position.revision, board->keeper_key.lease,
-			   board->keeper_key.value);
+			   board->keeper_key.value, board->keeper_key.position.era);
 	buf_append(out, fields.data, fields.len);
 	buf_append_text(out, "\r\n");
 	buf_append(out, body.data, body.len);
--- a/mesh/keeper_link.h
+++ b/mesh/keeper_link.h
@@ -30,6 +30,8 @@
  * answering node knows it. A fetch of "keeper" asks for nothing else.
  */
 #define KEEPER_KEY_FIELD "Br-Keeper"
+/** Header field beside KEEPER_KEY_FIELD: era of that revision. Earlier versions don't send it. */
+#define KEEPER_KEY_ERA_FIELD "Br-Keeper-Era"
 
 /** State of the keeper, received with each of its answers. */
 struct keeper_state {
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -261,6 +261,7 @@
 	EVENT(EVENT_WARNING, "store", "era_changed", EVENT_NUMBER("from", from),
 	      EVENT_NUMBER("to", to), EVENT_NUMBER("keeper", n->board.is_keeper));
 	board_count(&n->board, COUNT_STORE_ERA_CHANGES);
+	n->board.other_keeper_until_us = clock_now_us() + PRESENCE_LEASE_MS * BR_US_PER_MS;
 	if (n->presence)
 		presence_start_again(n->presence);
 }
@@ -285,7 +286,8 @@
 {
 	struct node *n = ctx;
 
-	if (key->position.revision > n->board.keeper_key.position.revision)
+	store_hear_era(n->board.store, key->position.era);
+	if (br_position_compare(&key->position, &n->board.keeper_key.position) > 0)
 		election_set_keeper(n->election, key->value, key->lease, &key->position);
 }
 
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -66,6 +66,12 @@
 	return q->allocator && now_us < q->lease_until_us;
 }
 
+/* True if nobody else acts as the keeper. */
+static bool is_only_keeper(const struct quota *q, uint64_t now_us)
+{
+	return is_keeper(q, now_us) && now_us >= q->board->other_keeper_until_us;
+}
+
 /* True if datagrams that are read now may have been waiting while the process did not run. */
 static bool was_paused(const struct quota *q, uint64_t now_us)
 {
@@ -126,7 +132,7 @@
 	const struct mesh_settings *set = q->board->settings;
 	/* What is tolerated beyond the rate is left to overlaps with another keeper. */
 	double excess_factor =
-		is_keeper(q, now_us) ? 1 + set->quota_overage_ratio * EXCESS_GRANTED_PART : 1;
+		is_only_keeper(q, now_us) ? 1 + set->quota_overage_ratio * EXCESS_GRANTED_PART : 1;
 
 	return (struct br_quota_limit){
 		.rate_per_s = a->rate_per_s * excess_factor,
@@ -137,7 +143,7 @@
 /* Prepares the keeper's allocator for a call. */
 static void update_allocator(struct quota *q, uint64_t now_us)
 {
-	br_quota_allocator_set_exclusive(q->allocator, is_keeper(q, now_us));
+	br_quota_allocator_set_exclusive(q->allocator, is_only_keeper(q, now_us));
 	br_quota_allocator_set_nodes(q->allocator, n_nodes(q));
 }
 
