--- a/mesh/board.h
+++ b/mesh/board.h
@@ -28,6 +28,7 @@
 	struct br_position position;
 };
 
+struct left_record;
 struct store;
 struct members;
 struct quota;
@@ -94,6 +95,7 @@
 	struct br_balance *balance;
 	struct target *target;
 	struct target_search *target_search;
+	struct left_record *left_record;
 	struct quota *quota;
 	/**
 	 * The last call to grant or renew the lease failed. Renewals are the cheapest calls, so
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -6,6 +6,7 @@
 #include "mesh/election.h"
 #include "mesh/event_log.h"
 #include "mesh/keeper_link.h"
+#include "mesh/left_record.h"
 #include "mesh/members.h"
 #include "mesh/peer.h"
 #include "mesh/presence.h"
@@ -65,6 +66,8 @@
 
 	if (n->presence)
 		presence_write(n->presence);
+	if (n->board.left_record)
+		left_record_write(n->board.left_record);
 }
 
 static void on_lease_change(void *ctx, uint64_t lease, uint64_t until_us)
@@ -264,6 +267,7 @@
 	n->board.other_keeper_until_us = clock_now_us() + PRESENCE_LEASE_MS * BR_US_PER_MS;
 	if (n->presence)
 		presence_start_again(n->presence);
+	left_record_write_again(n->board.left_record);
 }
 
 static int on_fetched_config(void *ctx, const char *text, size_t len,
@@ -317,6 +321,7 @@
 	b->members = members_create(b);
 	b->target = target_create(b, on_target_changed, n);
 	b->target_search = target_search_create(b);
+	b->left_record = left_record_create(b);
 	n->keeper_link = keeper_link_create(b);
 	b->quota = quota_create(b, n->keeper_link);
 	n->config_watch = config_watch_create(b, n->keeper_link);
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -3,6 +3,7 @@
 #include "briarreel/error.h"
 #include "mesh/config_watch.h"
 #include "mesh/event_log.h"
+#include "mesh/left_record.h"
 #include "mesh/metrics.h"
 #include "mesh/request.h"
 #include "mesh/target.h"
@@ -11,6 +12,7 @@
 #include "platform/store.h"
 
 #include <inttypes.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -30,6 +32,8 @@
 	struct service_server *server;
 	struct http_conn *conn;
 	LIST_ENTRY(service_conn) link;
+	/** The acknowledgement of a report or a leaving waits until the leaving is stored. */
+	struct left_wait wait;
 };
 
 static void send_answer(struct service_conn *sc, uint16_t status, const char *type,
@@ -52,6 +56,31 @@
 	send_answer(sc, status, "application/json", &body);
 }
 
+static void on_left_stored(struct left_wait *w)
+{
+	struct service_conn *sc =
+		(struct service_conn *)((char *)w - offsetof(struct service_conn, wait));
+
+	send_json_answer(sc, 200);
+}
+
+/* Acknowledges what a target has said, once the next process of this node would know it too. */
+static void acknowledge(struct service_conn *sc)
+{
+	sc->wait.done = on_left_stored;
+	if (!left_record_wait(sc->server->board->left_record, &sc->wait))
+		send_json_answer(sc, 200);
+}
+
+/* Answers go out in the order of the calls, so that a further call ends the wait. */
+static void end_acknowledgement(struct service_conn *sc)
+{
+	if (!sc->wait.waiting)
+		return;
+	left_record_cancel(sc->server->board->left_record, &sc->wait);
+	send_json_answer(sc, 200);
+}
+
 static void handle_report(struct service_conn *sc, const struct http_msg *m, const char *id)
 {
 	struct board *board = sc->server->board;
@@ -71,7 +100,7 @@
 	}
 	if (target_needs_confirmation(board->target))
 		target_search_start(board->target_search);
-	send_json_answer(sc, 200);
+	acknowledge(sc);
 }
 
 static void on_message(struct http_conn *c, struct http_msg *m)
@@ -82,6 +111,7 @@
 	struct buf body = {0};
 	bool ready;
 
+	end_acknowledgement(sc);
 	if (!strcmp(http_msg_target(m), METRICS_PATH)) {
 		metrics_write(board, &body);
 		send_answer(sc, 200, "text/plain; version=0.0.4", &body);
@@ -98,7 +128,7 @@
 		break;
 	case PLATFORM_CALL_LEAVE:
 		target_leave(board->target, id);
-		send_json_answer(sc, 200);
+		acknowledge(sc);
 		break;
 	case PLATFORM_CALL_UNKNOWN:
 		send_json_answer(sc, 404);
@@ -109,6 +139,7 @@
 
 static void free_conn(struct service_conn *sc)
 {
+	left_record_cancel(sc->server->board->left_record, &sc->wait);
 	LIST_REMOVE(sc, link);
 	free(sc);
 }
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -49,6 +49,9 @@
 	struct br_incarnation incarnation;
 	/** See struct br_incarnation_view. */
 	bool history_complete;
+	struct br_left_list left;
+	/** What earlier processes of this node knew is part of the list. */
+	bool left_restored;
 	/** Latest report that the target has not confirmed yet. */
 	struct target_report unconfirmed;
 	bool has_unconfirmed;
@@ -135,6 +138,7 @@
 	t->pool = create_pool(t);
 	/* At the first start of the whole system no earlier process has been told anything. */
 	t->history_complete = board->settings->first_start;
+	t->left_restored = board->settings->first_start;
 	BR_INVARIANT(t->queue);
 	return t;
 }
@@ -155,6 +159,29 @@
 	return &t->status;
 }
 
+const struct br_left_list *target_left(const struct target *t)
+{
+	return &t->left;
+}
+
+bool target_awaits_left(const struct target *t)
+{
+	return !t->left_restored;
+}
+
+void target_restore_left(struct target *t, const struct br_left_list *earlier)
+{
+	t->left_restored = true;
+	br_left_merge_earlier(&t->left, earlier);
+}
+
+/* Remembers that a target has left; start_ms is 0 if the start of its incarnation is not known. */
+static void remember_left(struct target *t, const char *id, uint64_t start_ms)
+{
+	/* The target is on this VM and starts by the same clock. */
+	br_left_add(&t->left, id, start_ms ? start_ms : clock_wall_ms());
+}
+
 static void set_phase(struct target *t, enum target_phase phase, const char *why)
 {
 	static const char *const names[] = {"absent", "serving", "leaving", "gone"};
@@ -163,9 +190,11 @@
 	      EVENT_TEXT("from", names[t->status.phase]), EVENT_TEXT("to", names[phase]),
 	      EVENT_TEXT("why", why), EVENT_NUMBER("sequence", t->incarnation.sequence),
 	      EVENT_NUMBER("slots", t->status.slots));
-	t->status.phase = phase;
 	if (phase != TARGET_SERVING)
 		t->confirmable_us = clock_now_us();
+	if (phase != TARGET_SERVING && t->status.phase != TARGET_LEAVING)
+		remember_left(t, t->status.id, t->incarnation.start_ms);
+	t->status.phase = phase;
 	if (phase == TARGET_LEAVING)
 		t->leaving_until_us = clock_now_us() + t->board->settings->drain_ms * BR_US_PER_MS /
 							       100 * DRAIN_USED_PERCENT;
@@ -274,6 +303,13 @@
 		      EVENT_NUMBER("port", ntohs(r->addr.sin_port)));
 		return false;
 	}
+	if (r->state == REPORTED_READY &&
+	    br_left_contains(&t->left, r->id, r->incarnation_start_ms)) {
+		EVENT(EVENT_INFO, "target", "report_of_left", EVENT_TEXT("target", r->id),
+		      EVENT_NUMBER("sequence", r->sequence),
+		      EVENT_NUMBER("incarnation_start_ms", r->incarnation_start_ms));
+		return true;
+	}
 	switch (br_report_order(&view, &report, r->state == REPORTED_READY)) {
 	case BR_REPORT_OUTDATED:
 		EVENT(EVENT_INFO, "target", "report_outdated", EVENT_TEXT("target", r->id),
@@ -303,8 +339,15 @@
 	struct target_report r = {.state = REPORTED_READY, .slots = slots};
 	bool reported = t->has_unconfirmed && !strcmp(t->unconfirmed.id, id);
 
-	if (asked_us < t->confirmable_us)
+	if (asked_us < t->confirmable_us || !t->left_restored)
+		return;
+	if (reported ? br_left_contains(&t->left, id, t->unconfirmed.incarnation_start_ms)
+		     : br_left_names(&t->left, id)) {
+		EVENT(EVENT_INFO, "target", "health_of_left", EVENT_TEXT("target", id));
+		if (reported)
+			t->has_unconfirmed = false;
 		return;
+	}
 	t->has_unconfirmed = false;
 	if (reported) {
 		r = t->unconfirmed;
@@ -330,8 +373,10 @@
 	      EVENT_TEXT("known", t->status.id));
 	t->history_complete = false;
 	t->confirmable_us = clock_now_us();
+	remember_left(t, id, 0);
 	if (t->has_unconfirmed && !strcmp(t->unconfirmed.id, id))
 		t->has_unconfirmed = false;
+	t->changed(t->ctx);
 }
 
 /* Tests whether the target has refused the request; 421 means that it was for another target. */
--- a/mesh/target.h
+++ b/mesh/target.h
@@ -5,6 +5,7 @@
 #ifndef MESH_TARGET_H
 #define MESH_TARGET_H
 
+#include "briarreel/left_list.h"
 #include "mesh/board.h"
 #include "mesh/job.h"
 #include "mesh/peer_format.h"
@@ -47,17 +48,30 @@
 
 /**
  * Processes a report of the target. Reports older than the known state are ignored, and so are
- * further reports of an incarnation in TARGET_CLOSED and cold_ms of all reports but the first. A
- * report that may have been overtaken by the target's leaving waits for target_confirm(). Returns
+ * further reports of an incarnation in TARGET_CLOSED, those of targets that have left, and cold_ms of
+ * all reports but the first. A report that may have been overtaken by the target's leaving waits for target_confirm(). Returns
  * false for a report that is not of the target that the settings name.
  */
 bool target_report(struct target *t, const struct target_report *r);
 
+/** The targets that have left, as far as this process and earlier ones of this node know. */
+const struct br_left_list *target_left(const struct target *t);
+
+/**
+ * Adds the targets that earlier processes of this node knew to have left. After a restart of the node
+ * alone no target is confirmed before that.
+ */
+void target_restore_left(struct target *t, const struct br_left_list *earlier);
+
+/** Tests whether target_restore_left() is awaited. */
+bool target_awaits_left(const struct target *t);
+
 /** Tests whether a report waits for target_confirm(). */
 bool target_needs_confirmation(const struct target *t);
 
 /**
- * Processes a health answer in which the target id says that it is ready. slots is 0 if the answer
+ * Processes a health answer in which the target id says that it is ready. It proves that the target
+ * runs, but not that it has not left, since health answers may be false. slots is 0 if the answer
  * does not tell them. asked_us is the time at which the health request was sent: an answer to an
  * earlier question than the report or the leaving that it would settle is ignored.
  */
--- a/mesh/target_search.c
+++ b/mesh/target_search.c
@@ -97,11 +97,14 @@
 
 	if (http_call_active(&s->call))
 		return;
+	/* An answer would prove nothing yet. */
+	if (target_awaits_left(s->board->target))
+		s->until_us = clock_now_us() + SEARCH_DURATION_US;
 	if (is_settled(s->board->target) || clock_now_us() >= s->until_us) {
 		timer_cancel(&s->timer);
 		return;
 	}
-	if (path && clock_now_us() >= s->next_us)
+	if (path && !target_awaits_left(s->board->target) && clock_now_us() >= s->next_us)
 		send_health_request(s, path);
 }
 
--- a/mesh/target_search.h
+++ b/mesh/target_search.h
@@ -16,7 +16,7 @@
 
 /**
  * Starts the search, or extends it if it runs. It ends when the target is known and no report waits
- * for a confirmation, or after 1.5 s.
+ * for a confirmation, or after 1.5 s. It begins once the targets that have left are known.
  */
 void target_search_start(struct target_search *s);
 
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -6,6 +6,7 @@
 #include "standins/mesh/http.h"
 #include "standins/mesh/kv.h"
 
+#include <inttypes.h>
 #include <popt.h>
 #include <pthread.h>
 #include <signal.h>
@@ -37,8 +38,10 @@
  * healthy while it is "ready" or empty.
  */
 static char state[32] = "ready";
-/** The target's health answers are no HTTP. */
-static bool health_is_odd;
+/** The target's health answers are no HTTP, or say that it is ready although it is not. */
+static bool health_is_odd, health_is_false;
+/** Start of the target's incarnation, in milliseconds since the Unix epoch. */
+static uint64_t born_ms = 1000;
 
 static void sleep_ms(long ms)
 {
@@ -96,7 +99,7 @@
 	char fields[512];
 
 	pthread_mutex_lock(&lock);
-	healthy = !*state || !strcmp(state, "ready");
+	healthy = health_is_false || !*state || !strcmp(state, "ready");
 	odd = health_is_odd;
 	pthread_mutex_unlock(&lock);
 	snprintf(fields, sizeof(fields), "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%d\r\n%s",
@@ -248,6 +251,19 @@
 	return true;
 }
 
+/* A target that has left and is ready again has started again. */
+static void set_state(const char *text)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	pthread_mutex_lock(&lock);
+	if (!strcmp(state, "left") && !strcmp(text, "ready"))
+		born_ms = (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+	snprintf(state, sizeof(state), "%s", text);
+	pthread_mutex_unlock(&lock);
+}
+
 static bool handle_operator(int fd, const struct http_req *req)
 {
 	const char *command = req->target + strlen("/operator/");
@@ -268,13 +284,11 @@
 			     : !strcmp(command + 6, "silent") ? KV_SILENT
 							      : KV_HEALTHY);
 	} else if (!strncmp(command, "state/", 6)) {
-		pthread_mutex_lock(&lock);
-		snprintf(state, sizeof(state), "%s",
-			 strcmp(command + 6, "mute") ? command + 6 : "");
-		pthread_mutex_unlock(&lock);
+		set_state(strcmp(command + 6, "mute") ? command + 6 : "");
 	} else if (!strncmp(command, "health/", 7)) {
 		pthread_mutex_lock(&lock);
 		health_is_odd = !strcmp(command + 7, "odd");
+		health_is_false = !strcmp(command + 7, "false");
 		pthread_mutex_unlock(&lock);
 	} else if (!strncmp(command, "runs", 4)) {
 		snprintf(text, sizeof(text), "runs %d\n",
@@ -304,9 +318,11 @@
 static void send_report(unsigned int sequence)
 {
 	char path[128], body[512], current_state[32];
+	uint64_t current_born_ms;
 
 	pthread_mutex_lock(&lock);
 	snprintf(current_state, sizeof(current_state), "%s", state);
+	current_born_ms = born_ms;
 	pthread_mutex_unlock(&lock);
 	if (!*current_state || !strcmp(current_state, "left"))
 		return;
@@ -314,8 +330,8 @@
 	snprintf(body, sizeof(body),
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\","
 		 "\"slots\":%d,\"state\":\"%s\",\"coldRemaining\":\"0ms\",\"sequence\":%u,"
-		 "\"born\":1000}",
-		 service, target_addr, slots, current_state, sequence);
+		 "\"born\":%" PRIu64 "}",
+		 service, target_addr, slots, current_state, sequence, current_born_ms);
 	http_call_once(report_addr, "PUT", path, body);
 }
 
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -97,13 +97,17 @@
 	target_destroy(f.target);
 }
 
-/* A target whose node was started again, and the target's late report. */
-static void start_again(struct fixture *f)
+static const struct br_left_list nothing_left;
+
+/* A target whose node was started again, and the target's late report. left is what it had acknowledged. */
+static void start_again(struct fixture *f, const struct br_left_list *left)
 {
 	start(f);
 	target_destroy(f->target);
 	f->settings.first_start = false;
 	f->target = target_create(&f->board, on_changed, f);
+	if (left)
+		target_restore_left(f->target, left);
 }
 
 static void expect_not_used(struct fixture *f)
@@ -126,7 +130,7 @@
 {
 	struct fixture f = {0};
 
-	start_again(&f);
+	start_again(&f, &nothing_left);
 	target_report(f.target, &f.report);
 	expect_not_used(&f);
 }
@@ -136,7 +140,7 @@
 {
 	struct fixture f = {0};
 
-	start_again(&f);
+	start_again(&f, &nothing_left);
 	target_report(f.target, &f.report);
 	cr_assert(target_needs_confirmation(f.target));
 	target_confirm(f.target, "t1", 0, clock_now_us());
@@ -152,7 +156,7 @@
 	struct fixture f = {0};
 	uint64_t asked_us;
 
-	start_again(&f);
+	start_again(&f, &nothing_left);
 	asked_us = clock_now_us();
 	clock_sleep_ms(2);
 	target_leave(f.target, "t1");
@@ -169,7 +173,7 @@
 {
 	struct fixture f = {0};
 
-	start_again(&f);
+	start_again(&f, &nothing_left);
 	f.report.state = REPORTED_DRAINING;
 	target_report(f.target, &f.report);
 	expect_not_used(&f);
@@ -180,12 +184,12 @@
 {
 	struct fixture f = {0};
 
-	start_again(&f);
+	start_again(&f, &nothing_left);
 	target_confirm(f.target, "t1", 1, clock_now_us());
 	target_leave(f.target, "t1");
 	cr_assert_eq(target_status(f.target)->phase, TARGET_LEAVING);
 	clock_sleep_ms(2);
-	f.report.incarnation_start_ms = 5000;
+	f.report.incarnation_start_ms = clock_wall_ms();
 	target_report(f.target, &f.report);
 	cr_assert_eq(target_status(f.target)->phase, TARGET_LEAVING);
 	target_confirm(f.target, "t1", 1, clock_now_us());
@@ -193,6 +197,87 @@
 	target_destroy(f.target);
 }
 
+/*
+ * Guards against a target that had left before its node was restarted and is used again, since its
+ * health answers are false: neither these nor a late report prove that it has not left (review/9).
+ */
+Test(mesh_target, health_of_a_target_that_has_left_proves_nothing)
+{
+	struct br_left_list left = {0};
+	struct fixture f = {0};
+
+	br_left_add(&left, "t1", 5000);
+	start_again(&f, &left);
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	cr_assert_eq(target_status(f.target)->phase, TARGET_ABSENT);
+	f.report.incarnation_start_ms = 5000;
+	f.report.sequence = 99;
+	target_report(f.target, &f.report);
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	cr_assert_eq(target_status(f.target)->phase, TARGET_ABSENT);
+	/* It starts again under its id. */
+	f.report.incarnation_start_ms = 5001;
+	f.report.sequence = 1;
+	target_report(f.target, &f.report);
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	cr_assert_eq(target_status(f.target)->phase, TARGET_SERVING);
+	target_destroy(f.target);
+}
+
+/* The target that comes after one that has left is found by its health. */
+Test(mesh_target, health_of_the_next_target_counts)
+{
+	struct br_left_list left = {0};
+	struct fixture f = {0};
+
+	br_left_add(&left, "t0", 5000);
+	start_again(&f, &left);
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	cr_assert_eq(target_status(f.target)->phase, TARGET_SERVING);
+	target_destroy(f.target);
+}
+
+/* Guards against a target that is used before its node knows what it had acknowledged. */
+Test(mesh_target, nothing_is_confirmed_before_it_is_known_what_left)
+{
+	struct fixture f = {0};
+
+	start_again(&f, NULL);
+	cr_assert(target_awaits_left(f.target));
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	cr_assert_eq(target_status(f.target)->phase, TARGET_ABSENT);
+	target_report(f.target, &f.report);
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	cr_assert_eq(target_status(f.target)->phase, TARGET_ABSENT);
+	target_restore_left(f.target, &nothing_left);
+	target_confirm(f.target, "t1", 1, clock_now_us());
+	cr_assert_eq(target_status(f.target)->phase, TARGET_SERVING);
+	target_destroy(f.target);
+}
+
+/* What the next process of the node is told: each leaving, whether its target is known or not. */
+Test(mesh_target, each_leaving_is_remembered)
+{
+	struct fixture f = {0};
+	uint32_t changes;
+
+	start(&f);
+	cr_assert_eq(target_left(f.target)->n, 0);
+	f.report.sequence = 2;
+	f.report.state = REPORTED_DRAINING;
+	f.report.incarnation_start_ms = 7000;
+	target_report(f.target, &f.report);
+	cr_assert(br_left_contains(target_left(f.target), "t1", 7000));
+	cr_assert_not(br_left_contains(target_left(f.target), "t1", 7001));
+	changes = target_left(f.target)->changes;
+	target_leave(f.target, "t1");
+	cr_assert_eq(target_left(f.target)->changes, changes);
+	target_leave(f.target, "t9");
+	cr_assert(br_left_names(target_left(f.target), "t9"));
+	cr_assert_neq(target_left(f.target)->changes, changes);
+	target_destroy(f.target);
+}
+
 /*
  * Guards against a report of another writer, for a service or an address that is not the target's,
  * behind whose sequence number the target's own leaving would be overlooked.
