--- a/common/json.c
+++ b/common/json.c
@@ -2,6 +2,7 @@
 
 #include <limits.h>
 #include <math.h>
+#include <string.h>
 
 struct json_object *json_parse_object(const char *bytes, size_t len)
 {
@@ -32,11 +33,17 @@
 	return v;
 }
 
-const char *json_member_text(struct json_object *o, const char *name)
+const char *json_text(struct json_object *v)
 {
-	struct json_object *v = member(o, name, json_type_string);
+	const char *text =
+		json_object_is_type(v, json_type_string) ? json_object_get_string(v) : NULL;
+
+	return text && strlen(text) == (size_t)json_object_get_string_len(v) ? text : NULL;
+}
 
-	return v ? json_object_get_string(v) : NULL;
+const char *json_member_text(struct json_object *o, const char *name)
+{
+	return json_text(member(o, name, json_type_string));
 }
 
 bool json_member_u64(struct json_object *o, const char *name, uint64_t *out)
--- a/common/json.h
+++ b/common/json.h
@@ -17,7 +17,13 @@
  */
 struct json_object *json_parse_object(const char *bytes, size_t len);
 
-/** String of a member, or NULL if it is missing or of another type. */
+/**
+ * A string, or NULL for a value of another type, and for a string with a NUL character, which would be
+ * cut there.
+ */
+const char *json_text(struct json_object *v);
+
+/** json_text() of a member; NULL also if it is missing. */
 const char *json_member_text(struct json_object *o, const char *name);
 
 /** Integer of a member. Returns false if it is missing, negative or of another type. */
--- a/lib/claim.c
+++ b/lib/claim.c
@@ -1,5 +1,7 @@
 #include "lib/claim.h"
 
+#include "lib/escape.h"
+
 #include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -63,52 +65,15 @@
 	br_copy_text(out->node.text, sizeof(out->node.text), c->text + c->node_offset);
 }
 
-/* Writes text with every byte that could end a field, and '%', as %xx; returns the end. */
-static char *escape(char *out, const char *text)
-{
-	for (; *text; text++) {
-		unsigned char c = (unsigned char)*text;
-
-		if (c <= ' ' || c == '%' || c >= 0x7f)
-			out += sprintf(out, "%%%02x", c);
-		else
-			*out++ = (char)c;
-	}
-	*out = '\0';
-	return out;
-}
-
-/* Decodes a field written by escape(); returns false if it is empty, too long or malformed. */
-static bool unescape(char *dst, size_t dst_bytes, const char *field)
-{
-	size_t n = 0;
-
-	while (*field) {
-		unsigned int c = (unsigned char)*field;
-
-		if (c == '%') {
-			if (sscanf(field, "%%%2x", &c) != 1 || !c || strlen(field) < 3)
-				return false;
-			field += 2;
-		}
-		if (n + 1 >= dst_bytes)
-			return false;
-		dst[n++] = (char)c;
-		field++;
-	}
-	dst[n] = '\0';
-	return n > 0;
-}
-
 void br_claim_record_format(const struct br_claim_record *rec, char *out)
 {
 	char attempt[BR_ATTEMPT_ID_BYTES];
 	const char *node = rec->location.node.text[0] ? rec->location.node.text : "-";
 
 	br_attempt_id_format(&rec->location.attempt, attempt);
-	out = escape(out, rec->account);
+	out = br_escape(out, rec->account);
 	*out++ = ' ';
-	out = escape(out, rec->id);
+	out = br_escape(out, rec->id);
 	sprintf(out, " %s %s %" PRIu64 " %d %" PRIu64, attempt, node, rec->location.incarnation,
 		rec->released, rec->remaining_us);
 }
@@ -128,8 +93,8 @@
 		   node, &rec->location.incarnation, &released, &rec->remaining_us, &end) != 7 ||
 	    line[end])
 		return -EINVAL;
-	if (!unescape(rec->account, sizeof(rec->account), account) ||
-	    !unescape(rec->id, sizeof(rec->id), id) ||
+	if (!br_unescape(rec->account, sizeof(rec->account), account) ||
+	    !br_unescape(rec->id, sizeof(rec->id), id) ||
 	    br_attempt_id_parse(attempt, &rec->location.attempt))
 		return -EINVAL;
 	if (strcmp(node, "-") != 0)
--- a/mesh/election.c
+++ b/mesh/election.c
@@ -71,10 +71,22 @@
 		write_key(e, e->position.revision);
 }
 
+/* Reads a node's name, which may hold spaces, and its address behind the last one. */
+static bool read_key_value(const char *value, char *node, struct sockaddr_in *addr)
+{
+	const char *space = strrchr(value, ' ');
+	size_t len = space ? (size_t)(space - value) : 0;
+
+	if (!len || len >= BR_NAME_BYTES || mesh_parse_addr(space + 1, addr))
+		return false;
+	memcpy(node, value, len);
+	node[len] = '\0';
+	return true;
+}
+
 void election_set_keeper(struct election *e, const char *value, uint64_t lease,
 			 const struct br_position *position)
 {
-	char addr_text[BR_NODE_ID_BYTES];
 	struct sockaddr_in addr = {0};
 
 	/* Stale reads may return an older state than the known one. */
@@ -86,8 +98,7 @@
 	e->board->keeper_key = (struct keeper_key){.lease = lease, .position = *position};
 	if (value)
 		br_copy_text(e->board->keeper_key.value, sizeof(e->board->keeper_key.value), value);
-	if (!value || sscanf(value, "%63s %47s", e->keeper, addr_text) != 2 ||
-	    mesh_parse_addr(addr_text, &addr)) {
+	if (!value || !read_key_value(value, e->keeper, &addr)) {
 		e->keeper[0] = '\0';
 		quota_set_keeper(e->board->quota, "", NULL, 0);
 		schedule_attempt(e, value ? RETRY_MS : 0);
--- a/mesh/model.h
+++ b/mesh/model.h
@@ -83,6 +83,8 @@
 
 struct mesh_account {
 	char *name;
+	/** The name can be sent to targets, who get it as the value of a header field. */
+	bool is_sendable;
 	uint64_t name_hash;
 	bool has_priority;
 	uint8_t priority;
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -192,6 +192,7 @@
 		job_cancel(&pc->job);
 		pc->server->active--;
 	}
+	peer_job_clear(&pc->job_field);
 	http_msg_destroy(pc->msg);
 	LIST_REMOVE(pc, link);
 	free(pc);
@@ -238,6 +239,7 @@
 	pc->server->active--;
 	write_answer(pc, end, false);
 	http_msg_destroy(end->answer);
+	peer_job_clear(&pc->job_field);
 	http_msg_destroy(pc->msg);
 	pc->msg = NULL;
 }
--- a/mesh/peer_format.h
+++ b/mesh/peer_format.h
@@ -1,6 +1,7 @@
 /**
  * @file peer_format.h
  * Encodes and decodes the header fields that nodes add to the requests and answers between them.
+ * Values are separated by spaces; names are single words of any length (lib/escape.h).
  */
 #ifndef MESH_PEER_FORMAT_H
 #define MESH_PEER_FORMAT_H
@@ -22,11 +23,11 @@
 	uint8_t rank;
 	uint16_t shed_order;
 	bool idempotent, is_call;
-	char target[BR_NAME_BYTES];
+	const char *target, *account, *caller_service;
 	/** Empty if the sender does not name it. */
-	char service[BR_NAME_BYTES];
-	char account[BR_NAME_BYTES];
-	char caller_service[BR_NAME_BYTES];
+	const char *service;
+	/** Private: memory of the names. */
+	char *words;
 };
 
 /** Decoded PEER_END_FIELD. */
@@ -48,9 +49,15 @@
 /** Appends PEER_JOB_FIELD; version is that of the configuration in force here. */
 void peer_write_job(struct buf *b, const struct job *job, uint64_t version, uint64_t now_us);
 
-/** Parses the value of PEER_JOB_FIELD. Returns 0 or -EINVAL. */
+/**
+ * Parses the value of PEER_JOB_FIELD. Returns 0, or -EINVAL and leaves nothing to be freed; otherwise
+ * the caller frees the names with peer_job_clear().
+ */
 int peer_read_job(const char *text, struct peer_job *out);
 
+/** Frees the names and sets them to NULL; may be called again. */
+void peer_job_clear(struct peer_job *job);
+
 /** Appends PEER_END_FIELD. */
 void peer_write_end(struct buf *b, const struct peer_end *end);
 
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -528,6 +528,10 @@
 		return false;
 	}
 	r->account = &r->config->accounts[account];
+	if (!r->account->is_sendable) {
+		refuse_request(r, "the account's name can't be sent to a target");
+		return false;
+	}
 	return true;
 }
 
--- a/net/http_msg.c
+++ b/net/http_msg.c
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 #include <stdlib.h>
+#include <string.h>
 #include <strings.h>
 
 struct http_msg *http_msg_create(void)
@@ -67,6 +68,24 @@
 		buf_printf(b, "Content-Length: %zu\r\n", m->body.len);
 }
 
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+bool http_is_field_value(const char *text)
+{
+	size_t len = strlen(text);
+
+	/* Blanks at the ends are not part of a value. */
+	if (!len || is_blank(text[0]) || is_blank(text[len - 1]))
+		return false;
+	for (size_t i = 0; i < len; i++)
+		if (((unsigned char)text[i] < ' ' && text[i] != '\t') || text[i] == '\x7f')
+			return false;
+	return true;
+}
+
 bool http_field_is_hop_by_hop(const char *name)
 {
 	static const char *const hop_by_hop[] = {
--- a/net/http_msg.h
+++ b/net/http_msg.h
@@ -60,6 +60,9 @@
  */
 void http_msg_write_length(struct buf *b, const struct http_msg *m);
 
+/** Tests whether a header field can have this value, and its receiver reads just this one. */
+bool http_is_field_value(const char *text);
+
 /** True for hop-by-hop and framing fields, which a proxy does not forward. */
 bool http_field_is_hop_by_hop(const char *name);
 
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -123,7 +123,8 @@
 	char *text = copy_input(bytes, len);
 	struct peer_job job;
 
-	(void)peer_read_job(text, &job);
+	if (!peer_read_job(text, &job))
+		peer_job_clear(&job);
 	free(text);
 }
 
--- a/tests/unit/mesh_model.c
+++ b/tests/unit/mesh_model.c
@@ -201,6 +201,7 @@
 	cr_assert_str_eq(decoded.target, "t");
 	cr_assert_str_eq(decoded.service, "wanted");
 	cr_assert_eq(decoded.account_hash, UINT64_MAX);
+	peer_job_clear(&decoded);
 	buf_free(&b);
 	peer_write_end(&b, &end);
 	cr_assert_eq(peer_read_end(buf_cstr(&b) + strlen(PEER_END_FIELD ": "), &decoded_end), 0);
@@ -214,10 +215,63 @@
 	/* A node of an earlier version names no service. */
 	cr_assert_eq(peer_read_job("1 2 3 4 5 0 9 1 0 a b c", &decoded), 0);
 	cr_assert_str_eq(decoded.service, "");
+	peer_job_clear(&decoded);
 	cr_assert_lt(peer_read_job("1 2 3 4 5 0 65536 1 0 a b c", &decoded), 0);
 	buf_free(&b);
 }
 
+/*
+ * Guards against a request that runs as another account, since a name between blanks moved the names
+ * behind it or was cut (review/10).
+ */
+Test(mesh_model, any_name_goes_to_another_node_as_it_is)
+{
+	static char longest[1000];
+	static const char *const names[] = {"north",	   "north shop", " x ", "a\tb",
+					    "100%",	   "%20",	 "-",	"--",
+					    "n\xc3\xb6rd", "\r\nX: y",	 "",	longest};
+	struct job job = {.target = "t"};
+	struct peer_job decoded;
+	struct buf b = {0};
+
+	memset(longest, 'n', sizeof(longest) - 1);
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		job.account = names[i];
+		job.caller_service = names[(i + 1) % (sizeof(names) / sizeof(names[0]))];
+		job.service = names[(i + 2) % (sizeof(names) / sizeof(names[0]))];
+		peer_write_job(&b, &job, 9, 0);
+		/* The line ends where the field ends. */
+		cr_assert_str_eq(buf_cstr(&b) + b.len - 2, "\r\n");
+		b.data[b.len - 2] = '\0';
+		cr_assert_null(strpbrk(b.data, "\r\n\t"));
+		cr_assert_eq(peer_read_job(b.data + strlen(PEER_JOB_FIELD ": "), &decoded), 0,
+			     "name %zu", i);
+		cr_assert_str_eq(decoded.account, job.account);
+		cr_assert_str_eq(decoded.caller_service, job.caller_service);
+		cr_assert_str_eq(decoded.service, job.service);
+		cr_assert_str_eq(decoded.target, "t");
+		peer_job_clear(&decoded);
+		buf_free(&b);
+	}
+}
+
+Test(mesh_model, malformed_names_of_a_job_are_refused)
+{
+	static const char *const odd[] = {
+		"1 2 3 4 5 0 9 1 0 a b",       "1 2 3 4 5 0 9 1 0 a % c",
+		"1 2 3 4 5 0 9 1 0 a %2 c",    "1 2 3 4 5 0 9 1 0 a %zz c",
+		"1 2 3 4 5 0 9 1 0 a %00 c",   "1 2 3 4 5 0 9 1 0 a %+1 c",
+		"1 2 3 4 5 0 9 1 0 a b c %xx", "1 2 3 4 5 0 9 1 0"};
+	struct peer_job decoded;
+
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		cr_assert_lt(peer_read_job(odd[i], &decoded), 0, "\"%s\"", odd[i]);
+	/* A later version may send more. */
+	cr_assert_eq(peer_read_job("1 2 3 4 5 0 9 1 0 a b c d e", &decoded), 0);
+	cr_assert_str_eq(decoded.service, "d");
+	peer_job_clear(&decoded);
+}
+
 /* Guards against accepting datagrams that are truncated, too long or of another protocol. */
 Test(mesh_model, keeper_messages_round_trip)
 {
@@ -257,3 +311,31 @@
 	len = keeper_message_write(&m, bytes, KEEPER_MESSAGE_BYTES);
 	cr_assert_lt(keeper_message_read(bytes, len, &decoded), 0);
 }
+
+/* Guards against a name or key that is cut at a NUL character, or that ends a header field. */
+Test(mesh_model, accounts_that_cannot_be_sent)
+{
+	static const char text[] =
+		"{\"version\":\"1\",\"resources\":["
+		"{\"entryKind\":\"tenants\",\"metadata\":{\"name\":\"north shop\"},"
+		"\"specification\":{\"apiKeys\":[\"k1\",\"k2\\u0000x\",7]}},"
+		"{\"entryKind\":\"tenants\",\"metadata\":{\"name\":\"north\\u0000shop\"},"
+		"\"specification\":{\"apiKeys\":[\"k3\"]}},"
+		"{\"entryKind\":\"tenants\",\"metadata\":{\"name\":\"north\\r\\nX-Field: v\"},"
+		"\"specification\":{}},"
+		"{\"entryKind\":\"tenants\",\"metadata\":{\"name\":\"north "
+		"\"},\"specification\":{}},"
+		"{\"entryKind\":\"tenants\",\"metadata\":{\"name\":\"\"},\"specification\":{}}]}";
+	struct br_error err = {0};
+	struct mesh_config *c = platform_decode_config(text, sizeof(text) - 1, &err);
+
+	cr_assert(c);
+	cr_assert_eq(c->n_accounts, 5);
+	cr_assert(c->accounts[0].is_sendable);
+	for (uint32_t i = 1; i < c->n_accounts; i++)
+		cr_assert_not(c->accounts[i].is_sendable, "account %u", i);
+	cr_assert_eq(mesh_config_account(c, "k1"), 0);
+	cr_assert_eq(mesh_config_account(c, "k2"), -1);
+	cr_assert_eq(mesh_config_account(c, "k3"), 1);
+	mesh_config_unref(c);
+}
