--- a/mesh/election.c
+++ b/mesh/election.c
@@ -52,10 +52,19 @@
 	return !strcmp(e->keeper, e->board->settings->node);
 }
 
-/* True if the key lives as long as this node's lease, so that nobody else can be elected. */
+/* True if what is known of the key was read in the store's present era. */
+static bool key_is_current(const struct election *e)
+{
+	return e->position.era == store_era(e->board->store);
+}
+
+/*
+ * True if the key lives as long as this node's lease, so that nobody else can be elected. Ids of
+ * leases are given out again, so that a key of an earlier era may have the id of the present lease.
+ */
 static bool holds_key(const struct election *e)
 {
-	return self_is_keeper(e) && e->lease && e->key_lease == e->lease;
+	return self_is_keeper(e) && e->lease && e->key_lease == e->lease && key_is_current(e);
 }
 
 /*
@@ -66,8 +75,7 @@
 {
 	/* A revision of an earlier era may be another node's key by now. */
 	if (self_is_keeper(e) && e->key_has_own_addr && e->lease && e->key_lease != e->lease &&
-	    e->position.era == store_era(e->board->store) && !e->write_pending &&
-	    !e->board->stopping)
+	    key_is_current(e) && !e->write_pending && !e->board->stopping)
 		write_key(e, e->position.revision);
 }
 
