--- a/tests/soak/config.c
+++ b/tests/soak/config.c
@@ -3,6 +3,8 @@
 
 #include <json-c/json.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 struct kind_info {
 	const char *prefix, *key, *account;
@@ -25,6 +27,8 @@
 static uint32_t version;
 static bool withdrawn, moved;
 static uint64_t withdrawn_us, moved_us;
+/** The latest configuration as it was written. */
+static char *latest;
 
 const char *config_key(enum kind kind)
 {
@@ -113,8 +117,21 @@
 		  "{\"headerBytes\":16384,\"bodyBytes\":1000000,\"headerTimeout\":\"3000ms\","
 		  "\"idleTimeout\":\"15000ms\"}");
 	json_object_object_add(o, "resources", list);
-	kv_put("op/config", json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	free(latest);
+	latest = strdup(json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
 	json_object_put(o);
+	if (!latest)
+		abort();
+	kv_put("op/config", latest);
+}
+
+void config_restore_store(void)
+{
+	pthread_mutex_lock(&lock);
+	if (!kv_restore())
+		abort();
+	kv_put("op/config", latest);
+	pthread_mutex_unlock(&lock);
 }
 
 void config_init(void)
--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -29,6 +29,8 @@
 	FAULT_LEAVE,
 	/** The keeper is frozen again and again. */
 	FAULT_FREEZE,
+	/** The store is away for a moment and comes back from an older copy. */
+	FAULT_STORE_COPY,
 	FAULT_KINDS,
 };
 
@@ -57,7 +59,8 @@
 						    "key",
 						    "route",
 						    "leave",
-						    "freeze keeper"};
+						    "freeze keeper",
+						    "store from a copy"};
 #define RELAY_DELAY 4
 #define RELAY_BLACKHOLE 5
 #define RELAY_VARIANTS 6
@@ -69,9 +72,24 @@
 #define FREEZE_SPREAD_US 4000000
 #define FREEZE_GAP_MS 8000
 
+/* Age of the copy when the store goes away, and time for which it is away. */
+#define COPY_AGE_MIN_US (200 * BR_US_PER_MS)
+#define COPY_AGE_SPREAD_US 5000000
+#define COPY_AWAY_MIN_US (50 * BR_US_PER_MS)
+#define COPY_AWAY_SPREAD_US 1500000
+#define COPY_GAP_MS 6000
+#define COPY_LOST_CHANGES 4
+
 static bool disturbs_process(const struct fault *f)
 {
-	return (f->kind >= FAULT_KILL && f->kind <= FAULT_HUP) || f->kind >= FAULT_LEAVE;
+	return (f->kind >= FAULT_KILL && f->kind <= FAULT_HUP) || f->kind == FAULT_LEAVE ||
+	       f->kind == FAULT_FREEZE;
+}
+
+/* True if the fault sets how the store answers. */
+static bool disturbs_answers(const struct fault *f)
+{
+	return f->kind <= FAULT_STORE_SILENT || f->kind == FAULT_STORE_COPY;
 }
 
 static bool disturbs_target(const struct fault *f)
@@ -85,7 +103,7 @@
  */
 static bool conflicts(const struct fault *a, const struct fault *b)
 {
-	bool store_a = a->kind <= FAULT_STORE_SILENT, store_b = b->kind <= FAULT_STORE_SILENT;
+	bool store_a = disturbs_answers(a), store_b = disturbs_answers(b);
 	bool process_a = disturbs_process(a), process_b = disturbs_process(b);
 	bool target_a = disturbs_target(a), target_b = disturbs_target(b);
 
@@ -97,11 +115,32 @@
 	       (a->kind == FAULT_RELAY && b->kind == FAULT_RELAY && a->relay == b->relay);
 }
 
+/*
+ * Takes the copy, and comes back from it age_us and then away_us later. The store loses some changes
+ * of the configuration; with the next one it has fewer revisions than it had.
+ */
+static void play_store_from_copy(uint32_t away_us, uint64_t age_us)
+{
+	kv_copy();
+	for (int i = 0; i < COPY_LOST_CHANGES; i++)
+		config_move_route();
+	sleep_us(age_us);
+	stability_record_disturbance(NONE, now_us() + away_us);
+	kv_set_fault(KV_SILENT);
+	sleep_us(away_us);
+	config_restore_store();
+	config_move_route();
+	kv_set_fault(KV_HEALTHY);
+	stability_record_disturbance(NONE, now_us());
+}
+
 static void *run_threaded(void *arg)
 {
 	struct fault *f = arg;
 
-	if (f->kind == FAULT_STOP) {
+	if (f->kind == FAULT_STORE_COPY) {
+		play_store_from_copy(f->variant, f->until_us - now_us());
+	} else if (f->kind == FAULT_STOP) {
 		process_stop_node(f->node);
 		sleep_us(FAULT_MIN_US);
 		process_start_node(f->node);
@@ -164,6 +203,7 @@
 	case FAULT_REPLACE:
 	case FAULT_LEAVE:
 	case FAULT_FREEZE:
+	case FAULT_STORE_COPY:
 		start_thread(f);
 		break;
 	case FAULT_HUP:
@@ -214,7 +254,7 @@
  */
 static void record_disturbance(const struct fault *f)
 {
-	if (f->kind <= FAULT_STORE_COMPACTED)
+	if (f->kind <= FAULT_STORE_COMPACTED || f->kind == FAULT_STORE_COPY)
 		stability_record_disturbance(NONE, now_us());
 	else if (f->kind <= FAULT_STOP)
 		stability_record_disturbance(f->node, now_us());
@@ -222,7 +262,7 @@
 
 static struct fault pick_fault(struct br_rng *rng)
 {
-	static const uint32_t weights[FAULT_KINDS] = {2, 2, 1, 8, 2, 2, 2, 1, 4, 3, 2, 2, 0, 0};
+	static const uint32_t weights[FAULT_KINDS] = {2, 2, 1, 8, 2, 2, 2, 1, 4, 3, 2, 2, 0, 0, 0};
 	struct fault f = {0};
 	uint32_t sum = 0, at;
 
@@ -270,6 +310,15 @@
 			      .until_us = FREEZE_MIN_US + random_below(rng, FREEZE_SPREAD_US)};
 }
 
+static struct fault pick_store_from_copy(struct br_rng *rng)
+{
+	return (struct fault){.kind = FAULT_STORE_COPY,
+			      .node = NONE,
+			      .variant = (uint32_t)COPY_AWAY_MIN_US +
+					 random_below(rng, COPY_AWAY_SPREAD_US),
+			      .until_us = COPY_AGE_MIN_US + random_below(rng, COPY_AGE_SPREAD_US)};
+}
+
 static bool can_start(const struct fault *f, struct fault *const *active)
 {
 	for (int i = 0; i < ACTIVE_MAX; i++)
@@ -336,14 +385,15 @@
 {
 	struct fault *active[ACTIVE_MAX] = {0};
 	uint64_t start_us = now_us(), next_us = start_us, next_later_us = start_us;
-	uint64_t next_freeze_us = start_us, next_invalid_us = start_us;
+	uint64_t next_freeze_us = start_us, next_invalid_us = start_us, next_copy_us = start_us;
 	bool pending = true;
-	struct br_rng rng, later_rng, freeze_rng, invalid_rng;
+	struct br_rng rng, later_rng, freeze_rng, invalid_rng, copy_rng;
 
 	br_rng_seed(&rng, soak.seed);
 	br_rng_seed(&later_rng, ~soak.seed);
 	br_rng_seed(&freeze_rng, soak.seed * 31);
 	br_rng_seed(&invalid_rng, soak.seed * 37);
+	br_rng_seed(&copy_rng, soak.seed * 41);
 	while (now_us() < start_us + for_us) {
 		start_due(pick_fault, &rng, &next_us, FAULT_GAP_MAX_MS, active, start_us);
 		start_due(pick_later_fault, &later_rng, &next_later_us, 2 * LATER_FAULT_GAP_MS,
@@ -352,6 +402,8 @@
 			  start_us);
 		start_due(pick_invalid_answers, &invalid_rng, &next_invalid_us,
 			  2 * LATER_FAULT_GAP_MS, active, start_us);
+		start_due(pick_store_from_copy, &copy_rng, &next_copy_us, 2 * COPY_GAP_MS, active,
+			  start_us);
 		end_faults(active, false);
 		process_check();
 		sleep_us(CHECK_INTERVAL_US);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -165,6 +165,8 @@
 void config_flip_key(void);
 /** Moves the route of KIND_MOVING to the other service. */
 void config_move_route(void);
+/** The store comes back from its copy, and the operator writes its latest configuration again. */
+void config_restore_store(void);
 /** Time since which the key of KIND_FLIPPED has been withdrawn, or 0. */
 uint64_t config_withdrawn_us(void);
 /** Returns the service of KIND_MOVING's route; sets since_us to the time of the last move. */
