--- a/mesh/members.c
+++ b/mesh/members.c
@@ -312,7 +312,7 @@
 	return &ms->entries[i]->member;
 }
 
-struct member *members_find_host(struct members *ms, struct in_addr host)
+struct member *members_by_host(struct members *ms, struct in_addr host)
 {
 	for (size_t i = 0; i < ms->n; i++)
 		if (ms->entries[i]->member.addr.sin_addr.s_addr == host.s_addr)
@@ -320,7 +320,7 @@
 	return NULL;
 }
 
-struct member *members_find(struct members *ms, const char *node)
+struct member *members_by_name(struct members *ms, const char *node)
 {
 	struct member_entry *e = find(ms, node);
 
--- a/mesh/members.h
+++ b/mesh/members.h
@@ -68,8 +68,8 @@
 /** Number of members, including this node and missing and superseded members. */
 size_t members_count(const struct members *ms);
 struct member *members_at(struct members *ms, size_t i);
-struct member *members_find(struct members *ms, const char *node);
+struct member *members_by_name(struct members *ms, const char *node);
 /** Finds a member by the host of its peer address; NULL if there is none. */
-struct member *members_find_host(struct members *ms, struct in_addr host);
+struct member *members_by_host(struct members *ms, struct in_addr host);
 
 #endif
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -39,7 +39,7 @@
 
 static void record_answer(const struct remote_job *run, const struct peer_end *end, uint64_t now_us)
 {
-	const struct member *m = members_find(run->board->members, run->node);
+	const struct member *m = members_by_name(run->board->members, run->node);
 
 	br_balance_record_load(run->board->balance, &run->id, end->in_flight + end->queued,
 			       end->limit, now_us);
@@ -52,7 +52,7 @@
 static void end_run(struct job *job, enum br_balance_end how)
 {
 	struct remote_job *run = job->runner;
-	struct member *m = members_find(run->board->members, run->node);
+	struct member *m = members_by_name(run->board->members, run->node);
 
 	br_balance_request_ended(run->board->balance, &run->id, how, clock_now_us());
 	if (m && how != BR_BALANCE_CANCELLED && how != BR_BALANCE_ERROR)
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -283,8 +283,8 @@
 	if (q->board->config && version <= q->board->config->version)
 		return;
 	if (from->sa_family == AF_INET)
-		m = members_find_host(q->board->members,
-				      ((const struct sockaddr_in *)from)->sin_addr);
+		m = members_by_host(q->board->members,
+				    ((const struct sockaddr_in *)from)->sin_addr);
 	board_report_version(q->board, version, m ? &m->addr : NULL);
 }
 
--- a/standins/mesh/main.c
+++ b/standins/mesh/main.c
@@ -41,7 +41,7 @@
 /** The target's health answers are no HTTP, or say that it is ready although it is not. */
 static bool health_is_odd, health_is_false;
 /** Start of the target's incarnation, in milliseconds since the Unix epoch. */
-static uint64_t born_ms = 1000;
+static uint64_t started_ms = 1000;
 
 static void sleep_ms(long ms)
 {
@@ -259,7 +259,7 @@
 	clock_gettime(CLOCK_REALTIME, &ts);
 	pthread_mutex_lock(&lock);
 	if (!strcmp(state, "left") && !strcmp(text, "ready"))
-		born_ms = (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+		started_ms = (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
 	snprintf(state, sizeof(state), "%s", text);
 	pthread_mutex_unlock(&lock);
 }
@@ -318,11 +318,11 @@
 static void send_report(unsigned int sequence)
 {
 	char path[128], body[512], current_state[32];
-	uint64_t current_born_ms;
+	uint64_t incarnation_ms;
 
 	pthread_mutex_lock(&lock);
 	snprintf(current_state, sizeof(current_state), "%s", state);
-	current_born_ms = born_ms;
+	incarnation_ms = started_ms;
 	pthread_mutex_unlock(&lock);
 	if (!*current_state || !strcmp(current_state, "left"))
 		return;
@@ -331,7 +331,7 @@
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\","
 		 "\"slots\":%d,\"state\":\"%s\",\"coldRemaining\":\"0ms\",\"sequence\":%u,"
 		 "\"born\":%" PRIu64 "}",
-		 service, target_addr, slots, current_state, sequence, current_born_ms);
+		 service, target_addr, slots, current_state, sequence, incarnation_ms);
 	http_call_once(report_addr, "PUT", path, body);
 }
 
--- a/tests/random/overload.c
+++ b/tests/random/overload.c
@@ -15,7 +15,7 @@
 
 #define ACCOUNTS 4
 #define QUEUE_MAX 400
-/* Queue length of the FIFO baseline that is not tuned to the target. */
+/* Queue length of the FIFO baseline; it does not depend on the target. */
 #define FIFO_QUEUE_MAX 4096
 #define WINDOW_US (100 * BR_US_PER_MS)
 #define SECONDS_MAX 64
--- a/tests/unit/mesh_keeper.c
+++ b/tests/unit/mesh_keeper.c
@@ -256,7 +256,7 @@
 		 "\"target\":\"t5\",\"service\":\"s\",%s}",
 		 more);
 	cr_assert(members_put(board->members, "b2", entry, strlen(entry)));
-	return members_find(board->members, "b2")->last_change;
+	return members_by_name(board->members, "b2")->last_change;
 }
 
 /* What says nothing new is not passed on; what others have to know is. */
--- a/tests/unit/mesh_peer.c
+++ b/tests/unit/mesh_peer.c
@@ -32,7 +32,7 @@
 		 "\"target\":\"t1\",\"service\":\"s\",\"slots\":8}",
 		 ntohs(f->server.addr.sin_port));
 	cr_assert(members_put(f->board.members, "other", entry, strlen(entry)));
-	f->member = members_find(f->board.members, "other");
+	f->member = members_by_name(f->board.members, "other");
 	cr_assert(f->member);
 }
 
