--- a/include/briarreel/store_era.h
+++ b/include/briarreel/store_era.h
@@ -19,11 +19,13 @@
 /** Returns less than, equal to, or greater than 0 as a is before, at, or after b. */
 int br_position_compare(const struct br_position *a, const struct br_position *b);
 
-/** The latest known era of the store; all zero before the first answer. */
+/** The latest known era of the store; all zero but for may_be_new before the first answer. */
 struct br_store_era {
 	uint64_t era;
 	bool known;
-	/** Time of the last change of a known era; 0 if there was none. */
+	/** Set by the owner: the era that is seen first may have begun just before. */
+	bool may_be_new;
+	/** Time of the last change, or of the first answer if it may have followed one; else 0. */
 	uint64_t changed_us;
 };
 
@@ -39,7 +41,7 @@
 /** Takes note of the era of an answer of the store, or of an era that another node has seen. */
 enum br_era_order br_store_era_observe(struct br_store_era *s, uint64_t era, uint64_t now_us);
 
-/** Tests whether the era has changed less than within_us ago. */
+/** Tests whether the era has changed less than within_us ago, as far as can be known. */
 bool br_store_era_changed_within(const struct br_store_era *s, uint64_t within_us, uint64_t now_us);
 
 /**
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -318,6 +318,8 @@
 	b->store = store_create(b->loop, &n->settings.store_addr);
 	store_set_observer(b->store, on_store_time, b);
 	store_set_era_observer(b->store, on_store_era, n);
+	if (!n->settings.first_start)
+		store_set_system_ran(b->store);
 	b->members = members_create(b);
 	b->target = target_create(b, on_target_changed, n);
 	b->target_search = target_search_create(b);
--- a/tests/unit/mesh_store.c
+++ b/tests/unit/mesh_store.c
@@ -112,6 +112,66 @@
 	}
 }
 
+static void send_get(struct store *s, struct reply *r)
+{
+	store_get(s, "k", 1000, on_reply, r);
+}
+
+static void send_range(struct store *s, struct reply *r)
+{
+	store_range(s, "k", "", 1000, on_reply, r);
+}
+
+static void send_watch(struct store *s, struct reply *r)
+{
+	store_watch(s, "k", &(struct br_position){5, 50}, 1, 1000, on_reply, r);
+}
+
+static void send_put(struct store *s, struct reply *r)
+{
+	store_put(s, &(struct store_put){.key = "k", .value = "v", .len = 1}, NULL, 1000, on_reply,
+		  r);
+}
+
+static void send_grant(struct store *s, struct reply *r)
+{
+	store_grant_lease(s, 3000, 1000, on_reply, r);
+}
+
+static void send_renewal(struct store *s, struct reply *r)
+{
+	store_renew_lease(s, 7, 1000, on_reply, r);
+}
+
+static void send_end(struct store *s, struct reply *r)
+{
+	store_end_lease(s, 7, 1000, on_reply, r);
+}
+
+/* Guards against a kind of call whose answer is not looked at. */
+Test(mesh_store, change_of_era_is_told_by_each_kind_of_call)
+{
+	static void (*const kinds[])(struct store * s, struct reply * r) = {
+		send_get, send_range, send_watch, send_put, send_grant, send_renewal, send_end,
+	};
+
+	for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+		struct reply r = {0};
+		struct fixture f;
+
+		set_up(&f);
+		cr_assert_eq(get(&f, ITEM(ERA("5"))).result, STORE_OK);
+		f.server.answer = ITEM(ERA("6"));
+		kinds[i](f.store, &r);
+		run_until(&f.server, &r.done);
+		cr_assert_eq(f.n_changes, 1, "call %zu", i);
+		cr_assert_eq(r.result, kinds[i] == send_watch ? STORE_COMPACTED : STORE_OK,
+			     "call %zu", i);
+		cr_assert_eq(r.position.era, 6, "call %zu", i);
+		tear_down(&f);
+	}
+}
+
 /* Guards against a lease that is kept or given up by an answer of before the store's return. */
 Test(mesh_store, answer_of_an_earlier_era_tells_nothing)
 {
--- a/tests/unit/store_era.c
+++ b/tests/unit/store_era.c
@@ -31,6 +31,17 @@
 	cr_assert_eq(br_store_era_observe(&s, 0, 50), BR_ERA_OUTDATED);
 }
 
+/* Guards against a process that starts after the store's return and takes what it reads for settled. */
+Test(store_era, first_era_of_a_later_process_may_be_new)
+{
+	struct br_store_era s = {.may_be_new = true};
+
+	cr_assert_not(br_store_era_changed_within(&s, BR_US_PER_S, 10));
+	cr_assert_eq(br_store_era_observe(&s, 7, BR_US_PER_S), BR_ERA_CURRENT);
+	cr_assert(br_store_era_changed_within(&s, BR_US_PER_S, 2 * BR_US_PER_S - 1));
+	cr_assert_not(br_store_era_changed_within(&s, BR_US_PER_S, 2 * BR_US_PER_S));
+}
+
 /* Guards against an answer that was sent before the store's return and is believed after it. */
 Test(store_era, answer_of_an_earlier_era_is_outdated)
 {
