--- a/mesh/peer_format.c
+++ b/mesh/peer_format.c
@@ -18,16 +18,15 @@
 /* Appends a name as one word behind a space. */
 static void append_name(struct buf *b, const char *name)
 {
-	char *word = xmalloc(BR_ESCAPED_BYTES(strlen(name)));
-
-	br_escape(word, name);
-	if (!*name)
-		buf_append_text(b, " " EMPTY_TEXT);
-	else if (!strcmp(name, EMPTY_TEXT))
-		buf_append_text(b, " " DASH_ESCAPED);
-	else
-		buf_printf(b, " %s", word);
-	free(word);
+	buf_append_text(b, " ");
+	if (!*name) {
+		buf_append_text(b, EMPTY_TEXT);
+	} else if (!strcmp(name, EMPTY_TEXT)) {
+		buf_append_text(b, DASH_ESCAPED);
+	} else {
+		buf_reserve(b, BR_ESCAPED_BYTES(strlen(name)));
+		b->len = (size_t)(br_escape(b->data + b->len, name) - b->data);
+	}
 }
 
 /* Decodes the next word, of a field or its line, in place; NULL if there is none or it is malformed. */
