--- a/lib/store_era.c
+++ b/lib/store_era.c
@@ -18,7 +18,8 @@
 	if (!s->known) {
 		s->era = era;
 		s->known = true;
-		s->changed_us = s->may_be_new ? now_us : 0;
+		/* A store that tells no era never comes back from a copy. */
+		s->changed_us = s->may_be_new && era ? now_us : 0;
 		return BR_ERA_CURRENT;
 	}
 	if (era == s->era)
--- a/tests/unit/store_era.c
+++ b/tests/unit/store_era.c
@@ -40,6 +40,10 @@
 	cr_assert_eq(br_store_era_observe(&s, 7, BR_US_PER_S), BR_ERA_CURRENT);
 	cr_assert(br_store_era_changed_within(&s, BR_US_PER_S, 2 * BR_US_PER_S - 1));
 	cr_assert_not(br_store_era_changed_within(&s, BR_US_PER_S, 2 * BR_US_PER_S));
+	/* But for a store that tells none, and has no copies to come back from. */
+	s = (struct br_store_era){.may_be_new = true};
+	cr_assert_eq(br_store_era_observe(&s, 0, BR_US_PER_S), BR_ERA_CURRENT);
+	cr_assert_not(br_store_era_changed_within(&s, BR_US_PER_S, BR_US_PER_S));
 }
 
 /* Guards against an answer that was sent before the store's return and is believed after it. */
