--- a/review/stand-ins-3/lib.sh
+++ b/review/stand-ins-3/lib.sh
@@ -56,6 +56,22 @@
 	return 1
 }
 
+# free_network N: prints three numbers of a loopback address, of which N addresses from .1 on are free.
+free_network() {
+	local net n port
+	for _ in $(seq 50); do
+		net=127.$((RANDOM % 100 + 100)).$((RANDOM % 250 + 1))
+		for n in $(seq "$1"); do
+			for port in 18101 18103 18105 18106 18107 18108 18110 18119; do
+				(exec 8<>"/dev/tcp/$net.$n/$port") 2>/dev/null && continue 3
+			done
+		done
+		echo "$net"
+		return
+	done
+	return 1
+}
+
 # Settings of a node as the platform writes them: write_settings FILE IP STORE NAME SERVICE FIRST_START
 write_settings() {
 	cat >"$1" <<END
