--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,79 +1,82 @@
 #!/usr/bin/env bash
-# Clients with long header fields on kept connections to one node. The node is killed and started again
-# while the store is silent (not with TROUBLE=0), and clients connect before it knows a configuration.
+# Nine nodes and their backends. One of the backends leaves with a DELETE while the store is silent; its node is killed and started
+# again before the store answers; the leaving backend's health answers are false. With TROUBLE=0 the store
+# answers all the time and the health answers are true; the node is killed and started again as well.
 cd "$(dirname "$0")/../.." || exit 2
 . review/stand-ins-3/lib.sh review/13
 [ -x target/briarreel-mesh ] && [ -x build-review-3/store ] && [ -x build-review-3/backend ] || cannot_run "not built"
-ip=$(free_address) || cannot_run "no free address"
+net=$(free_network 9) || cannot_run "no free addresses"
+ip=$net.1
 store_addr=$ip:18101
-clients=20
+drain_ms=2000
+touch_ms=3000
 
-# The operator allows 32,768 bytes of header fields, all the time.
 cat >"$dir/config" <<'END'
-{"version":"00000001","baseVersion":"00000000","resources":[{"entryKind":"routes","metadata":{"name":"safe"},"specification":{"host":"h.example","prefix":"/safe/","kind":"safe","timeout":"1500ms","latencyTarget":"1500ms","priority":1,"service":"svc","attempts":2,"public":true}},{"entryKind":"services","metadata":{"name":"svc"},"specification":{"healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false}},{"entryKind":"limits","metadata":{},"specification":{"headerBytes":32768,"bodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}
+{"version":"00000001","baseVersion":"00000000","resources":[{"entryKind":"routes","metadata":{"name":"safe"},"specification":{"host":"h.example","prefix":"/safe/","kind":"safe","timeout":"1500ms","latencyTarget":"1500ms","priority":1,"service":"svc","attempts":2,"public":true}},{"entryKind":"services","metadata":{"name":"svc"},"specification":{"healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false}},{"entryKind":"limits","metadata":{},"specification":{"headerBytes":16384,"bodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}
 END
-printf -v cookie '%20000s' ''
-cookie=${cookie// /c}
-
 start store build-review-3/store --store "$store_addr" --target "$ip:18120" --report "$ip:18121" --id unused
 wait_for 5 200 PUT "$store_addr" /operator/state/mute || cannot_run "no store"
 [ "$(http PUT "$store_addr" "/operator/config/$dir/config")" = 200 ] || cannot_run "no configuration"
+for n in 2 3 4 5 6 7 8 9; do
+	write_settings "$dir/$n.conf" "$net.$n" "$store_addr" "node-$n" svc true
+	start_node "node$n" "$dir/$n.conf"
+	start "backend$n" build-review-3/backend "$net.$n:18107" "$net.$n:18105" "i-$n" svc "$dir/backend$n.log"
+done
 write_settings "$dir/first.conf" "$ip" "$store_addr" node-1 svc true
 write_settings "$dir/later.conf" "$ip" "$store_addr" node-1 svc false
 start_node node "$dir/first.conf"
 start backend build-review-3/backend "$ip:18107" "$ip:18105" i-7f3a91c2 svc "$dir/backend.log"
 wait_for 10 200 GET "$ip:18106" /readiness || cannot_run "the node is not ready"
-wait_for 10 200 GET "$ip:18108" /safe/x "X-Attempt-Id: first\r\nX-Deadline-Milliseconds: 1500\r\nCookie: $cookie\r\n" ||
-	cannot_run "no request with a long header is served"
-
-fds=()
-# exchange CLIENT ID FIELDS: a request on the kept connection of a client; prints its status.
-exchange() {
-	local fd=${fds[$1]} line='' length=0 status
-	printf 'GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Milliseconds: 1500\r\n%s\r\n' \
-		"$2" "$3" >&"$fd"
-	IFS= read -r -t 3 line <&"$fd"
-	status=${line#* }
-	status=${status%% *}
-	while IFS= read -r -t 3 line <&"$fd" && [ "$line" != $'\r' ]; do
-		case $line in Content-Length:*) length=${line//[^0-9]/} ;; esac
-	done
-	[ "$length" -gt 0 ] && IFS= read -r -t 3 -N "$length" line <&"$fd"
-	echo "${status:-000}"
-} 2>/dev/null
+wait_for 10 200 GET "$ip:18108" /safe/x "X-Attempt-Id: first\r\nX-Deadline-Milliseconds: 1500\r\n" ||
+	cannot_run "no request is served"
+sleep 3
 
 if [ "${TROUBLE:-1}" != 0 ]; then
-	say "the store is silent; the node is killed and started again"
+	say "the store is silent; the backend's health answers are false from now on"
 	http PUT "$store_addr" /operator/fault/silent >/dev/null
-	kill -KILL "$node"
-	wait "$node" 2>/dev/null
-	sleep 0.5
-	start_node node "$dir/later.conf"
-	wait_for 3 503 GET "$ip:18106" /readiness || cannot_run "the node has not started again"
+	kill -USR2 "$backend"
 fi
-for c in $(seq 0 $((clients - 1))); do
-	exec {fds[c]}<>"/dev/tcp/$ip/18108" || cannot_run "a client can't connect"
-	say "client $c connects, its first request is answered $(exchange "$c" "a$c" "")"
+down=$(date +%s%3N)
+sleep 0.3
+say "the backend leaves: it sends DELETE, no more heartbeats, and goes on serving for some seconds"
+kill -HUP "$backend"
+acked=
+for _ in $(seq 40); do
+	acked=$(awk '/ leave .* 200$/ { print $1; exit }' "$dir/backend.log")
+	[ -n "$acked" ] && break
+	sleep 0.05
 done
+[ -n "$acked" ] || cannot_run "the leaving was not acknowledged"
+say "its leaving was acknowledged at $acked"
+sleep 0.3
+say "the node is killed"
+kill -KILL "$node"
+wait "$node" 2>/dev/null
+sleep 0.5
+start_node node "$dir/later.conf"
+say "the node is started again"
+while [ "$(date +%s%3N)" -lt $((down + 3000)) ]; do sleep 0.05; done
 if [ "${TROUBLE:-1}" != 0 ]; then
-	sleep 2
-	say "the store answers again"
 	http PUT "$store_addr" /operator/fault/none >/dev/null
+	say "the store answers again"
 fi
 wait_for 10 200 GET "$ip:18106" /readiness || cannot_run "the node is not ready again"
-wait_for 10 200 GET "$ip:18108" /safe/x "X-Attempt-Id: again\r\nX-Deadline-Milliseconds: 1500\r\nCookie: $cookie\r\n" ||
-	cannot_run "no request with a long header is served again"
-# The machine is in touch 3 s (stableWindow) after the end of the disruption.
-sleep 4
-
-denied=0
-sent=0
-for c in $(seq 0 $((clients - 1))); do
-	status=$(exchange "$c" "b$c" "Cookie: $cookie"$'\r\n')
-	sent=$((sent + 1))
-	say "client $c sends a request with 20,000 bytes more on its kept connection: $status"
-	case $status in 3??|4??) denied=$((denied + 1)) ;; esac
+# From here on the machine is in touch.
+calm=$(($(date +%s%3N) + touch_ms))
+while [ "$(date +%s%3N)" -lt $((down + 6000)) ]; do sleep 0.05; done
+if [ "${TROUBLE:-1}" != 0 ]; then
+	kill -USR2 "$backend"
+	say "the backend's health answers are true again"
+fi
+while [ "$(date +%s%3N)" -lt $((calm + 200)) ]; do sleep 0.05; done
+n=0
+while [ "$(date +%s%3N)" -lt $((calm + 3000)) ]; do
+	n=$((n + 1))
+	say "request b$n sent"
+	say "request b$n answered $(http GET "$ip:18108" /safe/x "X-Attempt-Id: b$n\r\nX-Deadline-Milliseconds: 1500\r\n")"
+	sleep 0.01
 done
 sed 's/^/backend: /' "$dir/backend.log" >>"$record"
-say "denied although the configuration allows them: $denied of $sent requests; 5 + one in 500 are tolerated"
-[ "$denied" -le $((5 + (sent + clients) / 500)) ]
+late=$(awk -v limit=$((acked + drain_ms)) '$2 == "run" && $1 > limit' "$dir/backend.log" | wc -l)
+say "requests that reached the leaving backend more than $drain_ms ms after the acknowledgement: $late"
+[ "$late" -eq 0 ]
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,67 +1,79 @@
 #!/usr/bin/env bash
-# Two nodes with the backends of two services. The operator splits a route over both by the weights 0.9 and
-# 0.1 (9 and 1 with TROUBLE=0), and takes a key away with the version after that.
+# Clients with long header fields on kept connections to one node. The node is killed and started again
+# while the store is silent (not with TROUBLE=0), and clients connect before it knows a configuration.
 cd "$(dirname "$0")/../.." || exit 2
 . review/stand-ins-3/lib.sh review/15
 [ -x target/briarreel-mesh ] && [ -x build-review-3/store ] && [ -x build-review-3/backend ] || cannot_run "not built"
-net=$(free_network 2) || cannot_run "no free addresses"
-store_addr=$net.1:18101
-revocation_ms=5000
-first=0.9 second=0.1
-[ "${TROUBLE:-1}" != 0 ] || first=9 second=1
+ip=$(free_address) || cannot_run "no free address"
+store_addr=$ip:18101
+clients=20
 
-write_config() { # FILE VERSION SERVICES KEYS
-	cat >"$1" <<END
-{"version":"$2","baseVersion":"00000000","resources":[{"entryKind":"routes","metadata":{"name":"keyed"},"specification":{"host":"h.example","prefix":"/keyed/","kind":"safe","timeout":"1500ms","latencyTarget":"1500ms","priority":1,"service":"svc","attempts":2,"public":false}},{"entryKind":"routes","metadata":{"name":"split"},"specification":{"host":"h.example","prefix":"/split/","kind":"safe","timeout":"1500ms","latencyTarget":"1500ms","priority":1,$3,"attempts":2,"public":true}},{"entryKind":"services","metadata":{"name":"svc"},"specification":{"healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false}},{"entryKind":"services","metadata":{"name":"svc2"},"specification":{"healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false}},{"entryKind":"tenants","metadata":{"name":"acme"},"specification":{"apiKeys":[$4],"priority":1,"ratePerS":0,"burst":0}},{"entryKind":"limits","metadata":{},"specification":{"headerBytes":16384,"bodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}
+# The operator allows 32,768 bytes of header fields, all the time.
+cat >"$dir/config" <<'END'
+{"version":"00000001","baseVersion":"00000000","resources":[{"entryKind":"routes","metadata":{"name":"safe"},"specification":{"host":"h.example","prefix":"/safe/","kind":"safe","timeout":"1500ms","latencyTarget":"1500ms","priority":1,"service":"svc","attempts":2,"public":true}},{"entryKind":"services","metadata":{"name":"svc"},"specification":{"healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false}},{"entryKind":"limits","metadata":{},"specification":{"headerBytes":32768,"bodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}
 END
-}
-split="\"weightedServices\":[{\"service\":\"svc\",\"weight\":$first},{\"service\":\"svc2\",\"weight\":$second}]"
-write_config "$dir/config1" 00000001 '"service":"svc"' '"kept","taken"'
-write_config "$dir/config2" 00000002 "$split" '"kept","taken"'
-write_config "$dir/config3" 00000003 "$split" '"kept"'
+printf -v cookie '%20000s' ''
+cookie=${cookie// /c}
 
-start store build-review-3/store --store "$store_addr" --target "$net.1:18120" --report "$net.1:18121" --id unused
+start store build-review-3/store --store "$store_addr" --target "$ip:18120" --report "$ip:18121" --id unused
 wait_for 5 200 PUT "$store_addr" /operator/state/mute || cannot_run "no store"
-[ "$(http PUT "$store_addr" "/operator/config/$dir/config1")" = 200 ] || cannot_run "no configuration"
+[ "$(http PUT "$store_addr" "/operator/config/$dir/config")" = 200 ] || cannot_run "no configuration"
+write_settings "$dir/first.conf" "$ip" "$store_addr" node-1 svc true
+write_settings "$dir/later.conf" "$ip" "$store_addr" node-1 svc false
+start_node node "$dir/first.conf"
+start backend build-review-3/backend "$ip:18107" "$ip:18105" i-7f3a91c2 svc "$dir/backend.log"
+wait_for 10 200 GET "$ip:18106" /readiness || cannot_run "the node is not ready"
+wait_for 10 200 GET "$ip:18108" /safe/x "X-Attempt-Id: first\r\nX-Deadline-Milliseconds: 1500\r\nCookie: $cookie\r\n" ||
+	cannot_run "no request with a long header is served"
 
-request() { # NODE ID KEY: prints the status
-	http GET "$net.$1:18108" /keyed/x "X-Attempt-Id: $2\r\nX-Deadline-Milliseconds: 1500\r\nApi-Key: $3\r\n"
-}
-write_settings "$dir/1.conf" "$net.1" "$store_addr" node-1 svc true
-write_settings "$dir/2.conf" "$net.2" "$store_addr" node-2 svc2 true
-start_node node1 "$dir/1.conf"
-start_node node2 "$dir/2.conf"
-start backend1 build-review-3/backend "$net.1:18107" "$net.1:18105" i-1 svc "$dir/backend1.log"
-start backend2 build-review-3/backend "$net.2:18107" "$net.2:18105" i-2 svc2 "$dir/backend2.log"
-for n in 1 2; do
-	wait_for 10 200 GET "$net.$n:18106" /readiness || cannot_run "node $n is not ready"
-	for _ in $(seq 100); do [ "$(request "$n" "first$n" taken)" = 200 ] && break; sleep 0.1; done
-done
-sleep 2
-
-http PUT "$store_addr" "/operator/config/$dir/config2" >/dev/null
-say "version 2 splits a route by the weights $first and $second"
-sleep 3
-for i in $(seq 20); do
-	say "request s$i on the split route answered $(http GET "$net.1:18108" /split/x "X-Attempt-Id: s$i\r\n")"
-done
-http PUT "$store_addr" "/operator/config/$dir/config3" >/dev/null
-acked=$(date +%s%3N)
-say "version 3, which takes the key away, was acknowledged at $acked"
-while [ "$(date +%s%3N)" -lt $((acked + 2 * revocation_ms)) ]; do
-	for n in 1 2; do
-		i=$((${i:-0} + 1))
-		sent=$(date +%s%3N)
-		say "request k$i with the key, sent at $sent to node $n, answered $(request "$n" "k$i" taken)"
+fds=()
+# exchange CLIENT ID FIELDS: a request on the kept connection of a client; prints its status.
+exchange() {
+	local fd=${fds[$1]} line='' length=0 status
+	printf 'GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Milliseconds: 1500\r\n%s\r\n' \
+		"$2" "$3" >&"$fd"
+	IFS= read -r -t 3 line <&"$fd"
+	status=${line#* }
+	status=${status%% *}
+	while IFS= read -r -t 3 line <&"$fd" && [ "$line" != $'\r' ]; do
+		case $line in Content-Length:*) length=${line//[^0-9]/} ;; esac
 	done
-	sleep 0.2
+	[ "$length" -gt 0 ] && IFS= read -r -t 3 -N "$length" line <&"$fd"
+	echo "${status:-000}"
+} 2>/dev/null
+
+if [ "${TROUBLE:-1}" != 0 ]; then
+	say "the store is silent; the node is killed and started again"
+	http PUT "$store_addr" /operator/fault/silent >/dev/null
+	kill -KILL "$node"
+	wait "$node" 2>/dev/null
+	sleep 0.5
+	start_node node "$dir/later.conf"
+	wait_for 3 503 GET "$ip:18106" /readiness || cannot_run "the node has not started again"
+fi
+for c in $(seq 0 $((clients - 1))); do
+	exec {fds[c]}<>"/dev/tcp/$ip/18108" || cannot_run "a client can't connect"
+	say "client $c connects, its first request is answered $(exchange "$c" "a$c" "")"
 done
+if [ "${TROUBLE:-1}" != 0 ]; then
+	sleep 2
+	say "the store answers again"
+	http PUT "$store_addr" /operator/fault/none >/dev/null
+fi
+wait_for 10 200 GET "$ip:18106" /readiness || cannot_run "the node is not ready again"
+wait_for 10 200 GET "$ip:18108" /safe/x "X-Attempt-Id: again\r\nX-Deadline-Milliseconds: 1500\r\nCookie: $cookie\r\n" ||
+	cannot_run "no request with a long header is served again"
+# The machine is in touch 3 s (stableWindow) after the end of the disruption.
+sleep 4
 
-for n in 1 2; do sed "s/^/backend $n: /" "$dir/backend$n.log" | grep -v heartbeat >>"$record"; done
-ran=0
-while read -r id sent; do
-	[ "$sent" -gt $((acked + revocation_ms)) ] || continue
-	grep -qh " run $id " "$dir"/backend?.log && ran=$((ran + 1))
-done < <(sed -n 's/.* request \(k[0-9]*\) with the key, sent at \([0-9]*\) .*/\1 \2/p' "$record")
-say "requests with the key that were sent later than $revocation_ms ms after the acknowledgement, and ran: $ran"
-[ "$ran" -eq 0 ]
+denied=0
+sent=0
+for c in $(seq 0 $((clients - 1))); do
+	status=$(exchange "$c" "b$c" "Cookie: $cookie"$'\r\n')
+	sent=$((sent + 1))
+	say "client $c sends a request with 20,000 bytes more on its kept connection: $status"
+	case $status in 3??|4??) denied=$((denied + 1)) ;; esac
+done
+sed 's/^/backend: /' "$dir/backend.log" >>"$record"
+say "denied although the configuration allows them: $denied of $sent requests; 5 + one in 500 are tolerated"
+[ "$denied" -le $((5 + (sent + clients) / 500)) ]
