--- a/common/json.c
+++ b/common/json.c
@@ -4,6 +4,11 @@
 #include <math.h>
 #include <string.h>
 
+/* The first double that a uint64_t can't hold. */
+#define U64_END 18446744073709551616.0
+/* Members that nobody knows may be nested deeply; the memory for it is taken beforehand. */
+#define DEPTH_MAX 256
+
 struct json_object *json_parse_object(const char *bytes, size_t len)
 {
 	struct json_tokener *tok;
@@ -11,7 +16,7 @@
 
 	if (!len || len > INT_MAX)
 		return NULL;
-	tok = json_tokener_new();
+	tok = json_tokener_new_ex(DEPTH_MAX);
 	if (!tok)
 		return NULL;
 	o = json_tokener_parse_ex(tok, bytes, (int)len);
@@ -46,28 +51,75 @@
 	return json_text(member(o, name, json_type_string));
 }
 
-bool json_member_u64(struct json_object *o, const char *name, uint64_t *out)
+/* JSON does not tell integers from other numbers; the parser does, by their spelling. */
+static struct json_object *number_member(struct json_object *o, const char *name)
 {
 	struct json_object *v = member(o, name, json_type_int);
 
-	if (!v || json_object_get_int64(v) < 0)
+	return v ? v : member(o, name, json_type_double);
+}
+
+bool json_member_u64(struct json_object *o, const char *name, uint64_t *out)
+{
+	struct json_object *v = number_member(o, name);
+	double n = v ? json_object_get_double(v) : -1;
+
+	/* Not negated, so that it also fails for what is no number. */
+	if (!(n >= 0))
 		return false;
-	*out = json_object_get_uint64(v);
+	if (json_object_is_type(v, json_type_int)) {
+		*out = json_object_get_uint64(v);
+		return true;
+	}
+	if (n >= U64_END || n != floor(n))
+		return false;
+	*out = (uint64_t)n;
+	return true;
+}
+
+bool json_member_count(struct json_object *o, const char *name, uint64_t max, uint64_t *out)
+{
+	double n;
+
+	if (json_member_u64(o, name, out)) {
+		if (*out > max)
+			*out = max;
+		return true;
+	}
+	if (!json_member_amount(o, name, &n))
+		return false;
+	*out = n < U64_END && (uint64_t)n < max ? (uint64_t)n : max;
+	return true;
+}
+
+bool json_member_amount(struct json_object *o, const char *name, double *out)
+{
+	struct json_object *v = number_member(o, name);
+	double n = v ? json_object_get_double(v) : -1;
+
+	if (!(n >= 0))
+		return false;
+	*out = n < JSON_AMOUNT_MAX ? n : JSON_AMOUNT_MAX;
 	return true;
 }
 
 bool json_member_number(struct json_object *o, const char *name, double *out)
 {
-	struct json_object *v = member(o, name, json_type_double);
+	struct json_object *v = number_member(o, name);
 
-	if (!v)
-		v = member(o, name, json_type_int);
 	if (!v || !isfinite(json_object_get_double(v)))
 		return false;
 	*out = json_object_get_double(v);
 	return true;
 }
 
+bool json_member_exists(struct json_object *o, const char *name)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, name, &v) && v;
+}
+
 struct json_object *json_member_array(struct json_object *o, const char *name)
 {
 	return member(o, name, json_type_array);
--- a/common/json.h
+++ b/common/json.h
@@ -26,7 +26,10 @@
 /** json_text() of a member; NULL also if it is missing. */
 const char *json_member_text(struct json_object *o, const char *name);
 
-/** Integer of a member. Returns false if it is missing, negative or of another type. */
+/**
+ * Whole number of a member, however it is written (3, 3.0 or 3e0). Returns false if it is missing,
+ * negative, not whole, beyond 64 bits or of another type.
+ */
 bool json_member_u64(struct json_object *o, const char *name, uint64_t *out);
 
 /**
@@ -35,6 +38,24 @@
  */
 bool json_member_number(struct json_object *o, const char *name, double *out);
 
+/**
+ * Number of things of a member: a fraction is dropped, and more than max is max. Returns false if it
+ * is missing, negative or of another type.
+ */
+bool json_member_count(struct json_object *o, const char *name, uint64_t max, uint64_t *out);
+
+/** Largest result of json_member_amount(); a sum of millions of them is still a finite double. */
+#define JSON_AMOUNT_MAX 1e300
+
+/**
+ * Number of a member that is not negative; one beyond JSON_AMOUNT_MAX is JSON_AMOUNT_MAX. Returns false
+ * if it is missing, negative or of another type.
+ */
+bool json_member_amount(struct json_object *o, const char *name, double *out);
+
+/** Tests whether a member exists, whatever its type; null counts as missing. */
+bool json_member_exists(struct json_object *o, const char *name);
+
 /** Boolean of a member; false also if it is missing or of another type. */
 bool json_member_bool(struct json_object *o, const char *name);
 
--- a/include/briarreel/types.h
+++ b/include/briarreel/types.h
@@ -45,6 +45,9 @@
 /** Returns a random number in [0, limit); 0 if limit is 0. */
 uint64_t br_rng_below(struct br_rng *rng, uint64_t limit);
 
+/** Returns a random number from 0 up to, but not including, 1. */
+double br_rng_unit(struct br_rng *rng);
+
 /**
  * Returns a 64-bit FNV-1a hash with a final mix, for hash tables and rendezvous hashing. Not
  * cryptographic.
--- a/lib/quota.c
+++ b/lib/quota.c
@@ -243,14 +243,16 @@
 				  double burst, uint32_t n_requested, uint64_t now_us)
 {
 	struct row *r = get_row(&a->accounts, account, a->started_us);
-	uint32_t n;
+	uint32_t n = 0;
 
 	if (!r)
 		return 0;
 	refill_account(a, r, rate_per_s, burst, now_us);
-	n = r->tokens < 0 ? 0 : (uint32_t)r->tokens;
-	if (n > n_requested)
+	/* A burst may be beyond what an integer holds. */
+	if (r->tokens >= n_requested)
 		n = n_requested;
+	else if (r->tokens > 0)
+		n = (uint32_t)r->tokens;
 	r->tokens -= n;
 	return n;
 }
--- a/lib/types.c
+++ b/lib/types.c
@@ -23,6 +23,12 @@
 	return x * 0x2545f4914f6cdd1dULL;
 }
 
+double br_rng_unit(struct br_rng *rng)
+{
+	/* A double holds 53 bits. */
+	return (double)(br_rng_next(rng) >> 11) / (double)(1ULL << 53);
+}
+
 uint64_t br_rng_below(struct br_rng *rng, uint64_t limit)
 {
 	return limit ? br_rng_next(rng) % limit : 0;
--- a/mesh/model.c
+++ b/mesh/model.c
@@ -141,6 +141,28 @@
 	return best;
 }
 
+int mesh_route_choose_service(const struct mesh_route *r, double point)
+{
+	double weight_sum = 0, offset;
+	int chosen = -1;
+
+	for (uint32_t i = 0; i < r->n_weighted_services; i++)
+		weight_sum += r->weighted_services[i].weight;
+	offset = point * weight_sum;
+	for (uint32_t i = 0; i < r->n_weighted_services; i++) {
+		const struct mesh_weighted_service *s = &r->weighted_services[i];
+
+		if (s->weight <= 0)
+			continue;
+		/* Rounding may leave an offset behind the last one. */
+		chosen = (int)s->service;
+		if (offset < s->weight)
+			break;
+		offset -= s->weight;
+	}
+	return chosen;
+}
+
 int mesh_config_account(const struct mesh_config *c, const char *key)
 {
 	struct mesh_key wanted = {.text = (char *)key};
--- a/mesh/model.h
+++ b/mesh/model.h
@@ -53,7 +53,8 @@
 /** One of the services among which a route's requests are split. */
 struct mesh_weighted_service {
 	uint32_t service;
-	uint32_t weight;
+	/** Proportion of the requests; any number that is not negative. */
+	double weight;
 };
 
 struct mesh_route {
@@ -91,6 +92,8 @@
 	/** Requests per second; 0 for no limit. */
 	double rate_per_s;
 	double burst;
+	/** Rate or burst are not numbers, so that nobody knows what the account may use. */
+	bool limit_unreadable;
 };
 
 struct mesh_key {
@@ -161,6 +164,12 @@
 const struct mesh_route *mesh_config_route(const struct mesh_config *c, const char *host,
 					   const char *path);
 
+/**
+ * Service for a request of a route, by the weights; point is a random number from 0 up to, but not
+ * including, 1. Returns -1 if no service has a weight, so that none gets requests.
+ */
+int mesh_route_choose_service(const struct mesh_route *r, double point);
+
 /** Index of the account that owns an API key, or -1. */
 int mesh_config_account(const struct mesh_config *c, const char *key);
 
--- a/mesh/request.c
+++ b/mesh/request.c
@@ -450,25 +450,15 @@
 	fail_request(r, 504, "time is over");
 }
 
-/* Chooses one of the route's services at random, by weight. */
-static uint32_t choose_service(const struct mesh_route *route, struct br_rng *rng)
-{
-	uint64_t weight_sum = 0, offset;
-
-	for (uint32_t i = 0; i < route->n_weighted_services; i++)
-		weight_sum += route->weighted_services[i].weight;
-	offset = br_rng_below(rng, weight_sum);
-	for (uint32_t i = 0; i < route->n_weighted_services; i++) {
-		if (offset < route->weighted_services[i].weight)
-			return route->weighted_services[i].service;
-		offset -= route->weighted_services[i].weight;
-	}
-	return route->weighted_services[0].service;
-}
-
 static void choose_service_and_send(struct request *r)
 {
-	r->service = choose_service(r->route, &r->board->rng);
+	int service = mesh_route_choose_service(r->route, br_rng_unit(&r->board->rng));
+
+	if (service < 0) {
+		refuse_request(r, "no service of the route has a weight");
+		return;
+	}
+	r->service = (uint32_t)service;
 	retry_budget_add_request(r->board, service_name(r));
 	send_to_target(r);
 }
@@ -532,6 +522,10 @@
 		refuse_request(r, "the account's name can't be sent to a target");
 		return false;
 	}
+	if (r->account->limit_unreadable) {
+		refuse_request(r, "the account's rate can't be read");
+		return false;
+	}
 	return true;
 }
 
--- a/tests/unit/mesh_model.c
+++ b/tests/unit/mesh_model.c
@@ -66,6 +66,118 @@
 		cr_assert_null(decode(bad[i]), "%s", bad[i]);
 }
 
+#define WEIGHTS(w1, w2)                                                                     \
+	CONFIG("00000001", ROUTE("r", "/a/", "1",                                           \
+				 "\"weightedServices\":[{\"service\":\"s1\",\"weight\":" w1 \
+				 "},{\"service\":\"s2\",\"weight\":" w2                     \
+				 "}]") "," SERVICE("s1") "," SERVICE("s2"))
+
+/*
+ * Guards against a configuration that is not read since a number in it is written in another way than
+ * expected, with all later versions and the keys that they take away (review/11).
+ */
+Test(mesh_model, weights_are_any_numbers)
+{
+	static const struct {
+		const char *text;
+		/** Part of the requests that the first service gets. */
+		double first;
+	} rows[] = {
+		{WEIGHTS("90", "10"), 0.9},
+		{WEIGHTS("0.9", "0.1"), 0.9},
+		{WEIGHTS("9.0", "1e0"), 0.9},
+		{WEIGHTS("9E-7", "1.0e-7"), 0.9},
+		{WEIGHTS("4294967296000", "4294967296000"), 0.5},
+		{WEIGHTS("18446744073709551615", "18446744073709551615"), 0.5},
+		{WEIGHTS("1e308", "1e999"), 0.5},
+		{WEIGHTS("0", "1e-300"), 0},
+		{WEIGHTS("3", "0.0"), 1},
+	};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct mesh_config *c = decode(rows[i].text);
+		uint32_t first = 0;
+
+		cr_assert(c, "row %zu", i);
+		for (uint32_t k = 0; k < 1000; k++)
+			first += mesh_route_choose_service(&c->routes[0], (k + 0.5) / 1000) == 0;
+		cr_assert_float_eq(first / 1000.0, rows[i].first, 0.001, "row %zu: %u", i, first);
+		mesh_config_unref(c);
+	}
+}
+
+/* Guards against a service without a weight that gets requests, and against a division by none. */
+Test(mesh_model, a_route_without_weights_has_no_service)
+{
+	struct mesh_config *c = decode(WEIGHTS("0", "0.0"));
+
+	cr_assert(c);
+	cr_assert_eq(mesh_route_choose_service(&c->routes[0], 0), -1);
+	cr_assert_eq(mesh_route_choose_service(&c->routes[0], 0.999), -1);
+	mesh_config_unref(c);
+	cr_assert_null(decode(WEIGHTS("-1", "1")));
+	cr_assert_null(decode(WEIGHTS("\"1\"", "1")));
+}
+
+/* Guards against numbers of a configuration that are taken for missing because of their spelling. */
+Test(mesh_model, numbers_of_a_configuration_in_any_spelling)
+{
+	struct mesh_config *c = decode(CONFIG(
+		"00000001",
+		ROUTE("r", "/a/", "1.0",
+		      "\"service\":\"s\",\"attempts\":3e0,\"timeout\":\"0.2ms\","
+		      "\"latencyTarget\":\"1e30s\"") "," SERVICE("s") ","
+								      "{\"entryKind\":\"tenants\","
+								      "\"metadata\":{\"name\":"
+								      "\"a\"},\"specification\":{"
+								      "\"apiKeys\":[\"k\"],"
+								      "\"priority\":2.0,"
+								      "\"ratePerS\":1e999,"
+								      "\"burst\":0.5e1}},"
+								      "{\"entryKind\":\"tenants\","
+								      "\"metadata\":{\"name\":"
+								      "\"b\"},\"specification\":{"
+								      "\"apiKeys\":[\"l\"],"
+								      "\"ratePerS\":\"5\"}},"
+								      "{\"entryKind\":\"limits\","
+								      "\"metadata\":{},"
+								      "\"specification\":{"
+								      "\"headerBytes\":3.2768e4,"
+								      "\"bodyBytes\":1e30}}"));
+
+	cr_assert(c);
+	cr_assert_eq(c->routes[0].attempts, 3);
+	cr_assert_eq(c->routes[0].priority, 1);
+	/* 0 would be no timeout at all. */
+	cr_assert_eq(c->routes[0].timeout_ms, 1);
+	cr_assert_gt(c->routes[0].objective_ms, 1000ULL * 3600 * 24 * 365);
+	cr_assert(c->accounts[0].has_priority);
+	cr_assert_eq(c->accounts[0].priority, 2);
+	cr_assert_gt(c->accounts[0].rate_per_s, 1e200);
+	cr_assert_eq(c->accounts[0].burst, 5);
+	cr_assert_not(c->accounts[0].limit_unreadable);
+	/* A rate that can't be read is not "no limit". */
+	cr_assert(c->accounts[1].limit_unreadable);
+	cr_assert_eq(c->header_bytes, 32768);
+	cr_assert_eq(c->body_bytes, UINT64_MAX);
+	mesh_config_unref(c);
+}
+
+/* Guards against reports that are refused since their numbers have a point or an exponent. */
+Test(mesh_model, numbers_of_a_report_in_any_spelling)
+{
+	static const char text[] =
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":7.2e1,\"state\":"
+		"\"ready\",\"sequence\":4.0,\"born\":1.7e12}";
+	struct target_report r = {0};
+	struct br_error err = {0};
+
+	cr_assert_eq(platform_decode_report(text, strlen(text), &r, &err), 0);
+	cr_assert_eq(r.slots, 72);
+	cr_assert_eq(r.sequence, 4);
+	cr_assert_eq(r.incarnation_start_ms, 1700000000000ULL);
+}
+
 Test(mesh_model, longest_prefix_of_the_host_wins)
 {
 	struct mesh_config *c = decode(CONFIG(
