--- a/mesh/board.h
+++ b/mesh/board.h
@@ -104,6 +104,11 @@
 	bool store_unreachable;
 	/** The last read or watch of the configuration failed. */
 	bool config_watch_failed;
+	/**
+	 * What the store holds last is no configuration that this node can read. It may have taken keys
+	 * away, so that nothing confirms the one in force.
+	 */
+	bool config_unreadable;
 	/** Latest known state of the keeper's key. */
 	struct keeper_key keeper_key;
 	/** This node is the keeper and its lease was valid at the last check; see election.h. */
--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -38,7 +38,10 @@
 #define KEEPER_CONFIRM_US (700 * BR_US_PER_MS)
 /* Confirmation age at which the keeper probes the store, for all nodes that follow it. */
 #define KEEPER_PROBE_AGE_MS 1600
-/* Keys are refused this much before revocation_ms has passed, to allow for requests in flight. */
+/*
+ * Keys are refused this much before revocation_ms has passed, but no more than half of it, to allow for
+ * requests in flight.
+ */
 #define CONFIRM_MARGIN_MS 500
 
 struct config_watch {
@@ -63,8 +66,12 @@
 
 bool config_keys_confirmed(const struct board *board, uint64_t now_us)
 {
-	uint64_t bound_us = (board->settings->revocation_ms - CONFIRM_MARGIN_MS) * BR_US_PER_MS;
+	uint64_t revocation_ms = board->settings->revocation_ms, margin_ms = CONFIRM_MARGIN_MS;
+	uint64_t bound_us;
 
+	if (margin_ms > revocation_ms / 2)
+		margin_ms = revocation_ms / 2;
+	bound_us = (revocation_ms - margin_ms) * BR_US_PER_MS;
 	return now_us - board->confirmed_us < bound_us;
 }
 
@@ -100,6 +107,7 @@
 		      EVENT_NUMBER("revision", position->revision));
 		return -EINVAL;
 	}
+	board->config_unreadable = false;
 	if (board->config && c->version <= board->config->version) {
 		mesh_config_unref(c);
 		return 0;
@@ -123,16 +131,39 @@
 		w->position = *position;
 }
 
-static void apply_items(struct config_watch *w, const struct store_reply *r)
+/* Applies the configuration that an item holds. Returns false if it holds none that can be read. */
+static bool apply_item(struct config_watch *w, const struct store_reply *r,
+		       const struct store_item *item)
 {
-	for (size_t i = 0; i < r->n_items; i++) {
-		const struct store_item *item = &r->items[i];
-		struct br_position position = store_item_position(r, item);
+	struct br_position position = store_item_position(r, item);
+
+	if (item->value)
+		return !apply_config(w->board, item->value, item->len, &position);
+	EVENT(EVENT_ERROR, "config", item->deleted ? "deleted" : "unreadable",
+	      EVENT_TEXT("key", item->key), EVENT_NUMBER("era", position.era),
+	      EVENT_NUMBER("revision", position.revision));
+	return false;
+}
 
-		if (item->value && !strcmp(item->key, PLATFORM_CONFIG_KEY))
-			(void)apply_config(w->board, item->value, item->len, &position);
-	}
+/*
+ * Applies what a read or a watch has returned. The items are in the order of their writes, so that the
+ * last one tells whether the newest configuration can be read.
+ */
+static void apply_items(struct config_watch *w, const struct store_reply *r)
+{
+	for (size_t i = 0; i < r->n_items; i++)
+		if (!strcmp(r->items[i].key, PLATFORM_CONFIG_KEY))
+			w->board->config_unreadable = !apply_item(w, r, &r->items[i]);
 	advance(w, &r->position);
+	/* An event that names no key may be a configuration: reads what there is now. */
+	if (r->incomplete)
+		w->position.revision = 0;
+}
+
+/* Whether what the store has answered proves that it holds no newer configuration. */
+static bool proves_config(const struct config_watch *w, const struct store_reply *r)
+{
+	return !w->board->config_unreadable && !r->incomplete;
 }
 
 /* True if changes since the known position can be asked for: the store is still in its era. */
@@ -189,9 +220,11 @@
 }
 
 /* Backdates the confirmation, since the store may have withheld changes; see EVENT_LOSS_MS. */
-static void confirm_watch_reply(struct config_watch *w, uint64_t watch_sent_us)
+static void confirm_watch_reply(struct config_watch *w, const struct store_reply *r,
+				uint64_t watch_sent_us)
 {
-	confirm(w->board, watch_sent_us - EVENT_LOSS_MS * BR_US_PER_MS);
+	if (proves_config(w, r))
+		confirm(w->board, watch_sent_us - EVENT_LOSS_MS * BR_US_PER_MS);
 }
 
 static void on_read(void *arg, const struct store_reply *r)
@@ -206,9 +239,9 @@
 	on_store_success(w);
 	apply_items(w, r);
 	/* If there is no configuration yet, the watch that follows delivers the first one. */
-	if (r->result == STORE_OK)
+	if (r->result == STORE_OK && proves_config(w, r))
 		confirm(w->board, w->sent_us);
-	else if (!w->position.revision)
+	if (!w->position.revision)
 		schedule_retry(w);
 }
 
@@ -225,7 +258,7 @@
 		return;
 	on_store_success(w);
 	apply_items(w, r);
-	confirm_watch_reply(w, w->sent_us);
+	confirm_watch_reply(w, r, w->sent_us);
 }
 
 static void on_probe(void *arg, const struct store_reply *r)
@@ -242,7 +275,7 @@
 		return;
 	on_store_success(w);
 	apply_items(w, r);
-	confirm_watch_reply(w, w->probe_sent_us);
+	confirm_watch_reply(w, r, w->probe_sent_us);
 }
 
 /* Probes the store if neither the keeper nor the watch has confirmed the configuration recently. */
--- a/mesh/metrics.c
+++ b/mesh/metrics.c
@@ -98,6 +98,11 @@
 	buf_printf(out,
 		   "# TYPE briarreel_config_version gauge\nbriarreel_config_version %" PRIu64 "\n",
 		   b->config ? b->config->version : 0);
+	buf_printf(out,
+		   "# HELP briarreel_config_unreadable The store's newest configuration can't be "
+		   "read.\n"
+		   "# TYPE briarreel_config_unreadable gauge\nbriarreel_config_unreadable %d\n",
+		   b->config_unreadable);
 	buf_printf(out,
 		   "# TYPE briarreel_config_confirmed_age_ms gauge\n"
 		   "briarreel_config_confirmed_age_ms %" PRIu64 "\n",
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -56,6 +56,16 @@
 	send_answer(sc, status, "application/json", &body);
 }
 
+/* A node that can't read the newest configuration goes on with the one before, and says so. */
+static void answer_readiness(struct service_conn *sc)
+{
+	const struct board *board = sc->server->board;
+	struct buf body = {0};
+
+	buf_append_text(&body, board->config_unreadable ? "{\"config\":\"unreadable\"}" : "{}");
+	send_answer(sc, board->config && !board->stopping ? 200 : 503, "application/json", &body);
+}
+
 static void on_left_stored(struct left_wait *w)
 {
 	struct service_conn *sc =
@@ -109,7 +119,6 @@
 	struct board *board = sc->server->board;
 	char id[BR_NAME_BYTES];
 	struct buf body = {0};
-	bool ready;
 
 	end_acknowledgement(sc);
 	if (!strcmp(http_msg_target(m), METRICS_PATH)) {
@@ -120,8 +129,7 @@
 	}
 	switch (platform_parse_call(m, id, sizeof(id))) {
 	case PLATFORM_CALL_READY:
-		ready = board->config && !board->stopping;
-		send_json_answer(sc, ready ? 200 : 503);
+		answer_readiness(sc);
 		break;
 	case PLATFORM_CALL_REPORT:
 		handle_report(sc, m, id);
--- a/tests/unit/mesh_store.c
+++ b/tests/unit/mesh_store.c
@@ -8,6 +8,7 @@
 #define ITEM(era) \
 	ANSWER(era, "200 OK", "48", "{\"key\":\"k\",\"value\":\"e30=\",\"revision\":41,\"at\":50}")
 #define NO_EVENTS(era) ANSWER(era, "200 OK", "21", "{\"events\":[],\"at\":50}")
+#define NO_ITEMS(era) ANSWER(era, "200 OK", "20", "{\"items\":[],\"at\":50}")
 
 struct reply {
 	bool done;
@@ -151,8 +152,14 @@
 /* Guards against a kind of call whose answer is not looked at. */
 Test(mesh_store, change_of_era_is_told_by_each_kind_of_call)
 {
-	static void (*const kinds[])(struct store * s, struct reply * r) = {
-		send_get, send_range, send_watch, send_put, send_grant, send_renewal, send_end,
+	static const struct {
+		void (*send)(struct store *s, struct reply *r);
+		const char *answer;
+	} kinds[] = {
+		{send_get, ITEM(ERA("6"))},	   {send_range, NO_ITEMS(ERA("6"))},
+		{send_watch, NO_EVENTS(ERA("6"))}, {send_put, ITEM(ERA("6"))},
+		{send_grant, ITEM(ERA("6"))},	   {send_renewal, ITEM(ERA("6"))},
+		{send_end, ITEM(ERA("6"))},
 	};
 
 	for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
@@ -161,17 +168,47 @@
 
 		set_up(&f);
 		cr_assert_eq(get(&f, ITEM(ERA("5"))).result, STORE_OK);
-		f.server.answer = ITEM(ERA("6"));
-		kinds[i](f.store, &r);
+		f.server.answer = kinds[i].answer;
+		kinds[i].send(f.store, &r);
 		run_until(&f.server, &r.done);
 		cr_assert_eq(f.n_changes, 1, "call %zu", i);
-		cr_assert_eq(r.result, kinds[i] == send_watch ? STORE_COMPACTED : STORE_OK,
+		cr_assert_eq(r.result, kinds[i].send == send_watch ? STORE_COMPACTED : STORE_OK,
 			     "call %zu", i);
 		cr_assert_eq(r.position.era, 6, "call %zu", i);
 		tear_down(&f);
 	}
 }
 
+/* Guards against an answer that is taken for "nothing there" although it does not tell what is there. */
+Test(mesh_store, answer_without_what_was_asked_tells_nothing)
+{
+	static const struct {
+		void (*send)(struct store *s, struct reply *r);
+		const char *answer;
+	} rows[] = {
+		{send_get, ANSWER("", "200 OK", "2", "{}")},
+		{send_get, NO_EVENTS("")},
+		{send_range, ANSWER("", "200 OK", "2", "{}")},
+		{send_range, ITEM("")},
+		{send_range, NO_EVENTS("")},
+		{send_watch, ANSWER("", "200 OK", "2", "{}")},
+		{send_watch, ANSWER("", "200 OK", "0", "")},
+		{send_watch, NO_ITEMS("")},
+	};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct reply r = {0};
+		struct fixture f;
+
+		set_up(&f);
+		f.server.answer = rows[i].answer;
+		rows[i].send(f.store, &r);
+		run_until(&f.server, &r.done);
+		cr_assert_eq(r.result, STORE_UNKNOWN, "row %zu", i);
+		tear_down(&f);
+	}
+}
+
 /* Guards against a lease that is kept or given up by an answer of before the store's return. */
 Test(mesh_store, answer_of_an_earlier_era_tells_nothing)
 {
