--- a/include/briarreel/store_era.h
+++ b/include/briarreel/store_era.h
@@ -44,6 +44,43 @@
 /** Tests whether the era has changed less than within_us ago, as far as can be known. */
 bool br_store_era_changed_within(const struct br_store_era *s, uint64_t within_us, uint64_t now_us);
 
+/**
+ * An item of the store that names the era in which it was written. A copy has the mark of an earlier
+ * era, so that an era with its own mark has not just begun.
+ */
+enum br_era_mark {
+	/** Not read yet. */
+	BR_ERA_MARK_UNREAD,
+	/** There is none: no node has been the keeper yet. */
+	BR_ERA_MARK_NONE,
+	/** It names the present era. */
+	BR_ERA_MARK_PRESENT,
+	/** It names another one: the store has come back from a copy since it was written. */
+	BR_ERA_MARK_OTHER,
+};
+
+/** What a process knows when it judges what it has read from the store. */
+struct br_store_trust {
+	/** Some seconds have passed in this era, or none has begun while the system ran. */
+	bool era_is_old;
+	enum br_era_mark mark;
+	/** The other nodes that were found have been asked since this process saw the era. */
+	bool others_asked;
+	/** This process, or a node that it asked, knows which versions were in force before the era. */
+	bool knows_history;
+	/** Version in force, or about to be, and the latest one that another node has told of. */
+	uint64_t version, told_version;
+};
+
+/** Tests whether the store has all that it ever acknowledged, or what was lost is written again. */
+bool br_store_is_settled(const struct br_store_trust *t);
+
+/** Tests whether a process that knows no configuration may take the store's for the newest one. */
+bool br_store_proves_config(const struct br_store_trust *t);
+
+/** Tests whether the store proves that no key of the version in force has been taken away. */
+bool br_store_proves_keys(const struct br_store_trust *t);
+
 /**
  * Parses the text in which an answer names its era; NULL if it names none. Returns 0 and stores 0
  * for NULL, or -EINVAL and stores 0 for a text that is not a decimal number of 64 bits.
--- a/lib/store_era.c
+++ b/lib/store_era.c
@@ -36,6 +36,29 @@
 	return s->changed_us && now_us - s->changed_us < within_us;
 }
 
+bool br_store_is_settled(const struct br_store_trust *t)
+{
+	return t->era_is_old || t->mark == BR_ERA_MARK_PRESENT;
+}
+
+static bool agrees_with_others(const struct br_store_trust *t)
+{
+	return t->others_asked && t->version >= t->told_version;
+}
+
+bool br_store_proves_config(const struct br_store_trust *t)
+{
+	return br_store_is_settled(t) || agrees_with_others(t);
+}
+
+bool br_store_proves_keys(const struct br_store_trust *t)
+{
+	if (br_store_is_settled(t))
+		return true;
+	/* Without any mark the system is new, and there is no history to be known. */
+	return agrees_with_others(t) && (t->knows_history || t->mark == BR_ERA_MARK_NONE);
+}
+
 int br_store_era_parse(const char *text, uint64_t *era)
 {
 	char *end;
--- a/mesh/board.h
+++ b/mesh/board.h
@@ -29,6 +29,7 @@
 };
 
 struct left_record;
+struct start_check;
 struct store;
 struct members;
 struct quota;
@@ -77,6 +78,20 @@
 	uv_loop_t *loop;
 	const struct mesh_settings *settings;
 	struct br_rng rng;
+	/** What the store says of its era, see briarreel/store_era.h. */
+	enum br_era_mark era_mark;
+	/** The keeper is writing it. */
+	bool era_mark_pending;
+	/** The other nodes have been asked in the store's present era, see mesh/start_check.h. */
+	bool others_asked;
+	/**
+	 * This process knows which versions were in force before the store's present era: since it ran
+	 * then, or from a node that did.
+	 */
+	bool knows_history;
+	/** Latest version that another node has told of, and its peer address; 0 for none. */
+	uint64_t told_version;
+	struct sockaddr_in told_by;
 	/** NULL until the first configuration is known. */
 	struct mesh_config *config;
 	/** Latest time at which the store was known to hold no newer configuration. */
@@ -96,6 +111,7 @@
 	struct target *target;
 	struct target_search *target_search;
 	struct left_record *left_record;
+	struct start_check *start_check;
 	struct quota *quota;
 	/**
 	 * The last call to grant or renew the lease failed. Renewals are the cheapest calls, so
@@ -214,6 +230,10 @@
 static inline void board_report_version(struct board *b, uint64_t version,
 					const struct sockaddr_in *source)
 {
+	if (source && version > b->told_version) {
+		b->told_version = version;
+		b->told_by = *source;
+	}
 	if (b->on_newer_version && version > (b->config ? b->config->version : 0))
 		b->on_newer_version(b->on_newer_version_ctx, version, source);
 }
--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -2,6 +2,7 @@
 
 #include "briarreel/error.h"
 #include "common/clock.h"
+#include "mesh/era_mark.h"
 #include "mesh/event_log.h"
 #include "mesh/keeper_link.h"
 #include "net/timer.h"
@@ -21,11 +22,6 @@
 #define RETRY_MAX_MS 800
 /* Before the store reports that its history is lost, watches may miss events for this long. */
 #define EVENT_LOSS_MS 1000
-/*
- * For this time after the store's return from a copy it may lack a version that other nodes have:
- * the operator has not written it again yet.
- */
-#define LOST_WRITES_US (10 * BR_US_PER_S)
 /* Wait of a probe, which asks for the changes since the known revision without blocking. */
 #define PROBE_WAIT_MS 1
 #define CHECK_MS 100
@@ -80,19 +76,41 @@
 	return (clock_now_us() - board->confirmed_us) / BR_US_PER_MS;
 }
 
+static struct br_store_trust trust_of(const struct board *board)
+{
+	return era_mark_trust(board, board->config ? board->config->version : 0);
+}
+
 static void confirm(struct board *board, uint64_t at_us)
 {
 	if (at_us > board->confirmed_us)
 		board->confirmed_us = at_us;
 }
 
+/* Confirms by an answer of the store, unless it may have lost a version that took keys away. */
+static void confirm_from_store(struct board *board, uint64_t at_us)
+{
+	struct br_store_trust trust = trust_of(board);
+
+	if (!br_store_proves_keys(&trust))
+		return;
+	if (board->config && br_store_is_settled(&trust))
+		board->knows_history = true;
+	confirm(board, at_us);
+}
+
 void config_confirm_from_peer(struct board *board, uint64_t version, uint64_t age_ms,
 			      uint64_t sent_us, const struct sockaddr_in *source)
 {
-	if (board->config && version == board->config->version && age_ms * BR_US_PER_MS < sent_us)
+	struct br_store_trust trust = trust_of(board);
+
+	if (board->config && version == board->config->version && age_ms * BR_US_PER_MS < sent_us &&
+	    (br_store_is_settled(&trust) || version >= trust.told_version)) {
 		confirm(board, sent_us - age_ms * BR_US_PER_MS);
-	else
+		board->knows_history = true;
+	} else {
 		board_report_version(board, version, source);
+	}
 }
 
 static int apply_config(struct board *board, const char *text, size_t len,
@@ -145,6 +163,17 @@
 	return false;
 }
 
+/*
+ * Tests whether the store's configuration would be the first of this process, and may lack a change that
+ * other nodes know.
+ */
+static bool is_unproven(const struct config_watch *w)
+{
+	struct br_store_trust trust = trust_of(w->board);
+
+	return !w->board->config && !br_store_proves_config(&trust);
+}
+
 /*
  * Applies what a read or a watch has returned. The items are in the order of their writes, so that the
  * last one tells whether the newest configuration can be read.
@@ -224,7 +253,7 @@
 				uint64_t watch_sent_us)
 {
 	if (proves_config(w, r))
-		confirm(w->board, watch_sent_us - EVENT_LOSS_MS * BR_US_PER_MS);
+		confirm_from_store(w->board, watch_sent_us - EVENT_LOSS_MS * BR_US_PER_MS);
 }
 
 static void on_read(void *arg, const struct store_reply *r)
@@ -237,10 +266,13 @@
 		return;
 	}
 	on_store_success(w);
+	/* Read again once the other nodes have been asked. */
+	if (is_unproven(w))
+		return;
 	apply_items(w, r);
 	/* If there is no configuration yet, the watch that follows delivers the first one. */
 	if (r->result == STORE_OK && proves_config(w, r))
-		confirm(w->board, w->sent_us);
+		confirm_from_store(w->board, w->sent_us);
 	if (!w->position.revision)
 		schedule_retry(w);
 }
@@ -306,6 +338,17 @@
 			    WATCH_WAIT_MS + WATCH_GRACE_MS, on_watch, w);
 }
 
+/* Fetches a version that another node has told of, and that the store may have lost. */
+static void fetch_told_version(struct config_watch *w)
+{
+	struct board *b = w->board;
+	struct br_store_trust trust = trust_of(b);
+
+	if (br_store_is_settled(&trust) || trust.version >= trust.told_version)
+		return;
+	keeper_link_fetch_config(w->link, b->told_version, &b->told_by);
+}
+
 static void on_check(void *arg)
 {
 	struct config_watch *w = arg;
@@ -313,8 +356,11 @@
 
 	if (w->board->store_unreachable)
 		return;
+	fetch_told_version(w);
 	if (w->board->config)
 		probe(w);
+	if (is_unproven(w) && store_era(w->board->store))
+		return;
 	if (w->call_pending || w->retry_timer || board_follows_keeper(w->board, now_us))
 		return;
 	/*
@@ -327,6 +373,11 @@
 	read_or_watch(w);
 }
 
+void config_watch_check(struct config_watch *w)
+{
+	on_check(w);
+}
+
 int config_watch_apply(struct config_watch *w, const char *text, size_t len,
 		       const struct br_position *position)
 {
@@ -346,9 +397,9 @@
 
 	if (board_follows_keeper(w->board, clock_now_us()))
 		return;
-	if (source && (w->board->store_unreachable ||
-		       store_era_changed_within(w->board->store, LOST_WRITES_US)))
+	if (source && w->board->store_unreachable)
 		keeper_link_fetch_config(w->link, version, source);
+	fetch_told_version(w);
 	if (w->board->store_unreachable)
 		return;
 	if (w->probe_pending || w->retry_timer || !position_known(w))
--- a/mesh/config_watch.h
+++ b/mesh/config_watch.h
@@ -18,6 +18,9 @@
 struct config_watch *config_watch_create(struct board *board, struct keeper_link *link);
 void config_watch_destroy(struct config_watch *w);
 
+/** Makes the calls to the store that are due now instead of at the next check. */
+void config_watch_check(struct config_watch *w);
+
 /**
  * Applies a configuration sent by another node: its text and its position in the store. A version
  * that is not newer only counts as received. Returns 0 or -EINVAL for an invalid text, which is
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -4,6 +4,7 @@
 #include "mesh/caller.h"
 #include "mesh/config_watch.h"
 #include "mesh/election.h"
+#include "mesh/era_mark.h"
 #include "mesh/event_log.h"
 #include "mesh/keeper_link.h"
 #include "mesh/left_record.h"
@@ -13,6 +14,7 @@
 #include "mesh/quota.h"
 #include "mesh/request.h"
 #include "mesh/service.h"
+#include "mesh/start_check.h"
 #include "mesh/target.h"
 #include "mesh/target_search.h"
 #include "mesh/view_watch.h"
@@ -213,6 +215,7 @@
 	peer_server_sweep(n->peers);
 	caller_server_sweep(n->callers);
 	store_sweep(n->board.store);
+	era_mark_check(&n->board);
 	ask_for_keeper(n);
 	check_settings_file(n);
 }
@@ -268,6 +271,15 @@
 	if (n->presence)
 		presence_start_again(n->presence);
 	left_record_write_again(n->board.left_record);
+	n->board.era_mark = BR_ERA_MARK_UNREAD;
+	start_check_again(n->board.start_check);
+}
+
+static void on_others_asked(void *ctx)
+{
+	struct node *n = ctx;
+
+	config_watch_check(n->config_watch);
 }
 
 static int on_fetched_config(void *ctx, const char *text, size_t len,
@@ -324,6 +336,7 @@
 	b->target = target_create(b, on_target_changed, n);
 	b->target_search = target_search_create(b);
 	b->left_record = left_record_create(b);
+	b->start_check = start_check_create(b, on_others_asked, n);
 	n->keeper_link = keeper_link_create(b);
 	b->quota = quota_create(b, n->keeper_link);
 	n->config_watch = config_watch_create(b, n->keeper_link);
--- a/mesh/metrics.c
+++ b/mesh/metrics.c
@@ -113,6 +113,10 @@
 		   store_call_count(b->store));
 	buf_printf(out, "# TYPE briarreel_store_era gauge\nbriarreel_store_era %" PRIu64 "\n",
 		   store_era(b->store));
+	buf_printf(out,
+		   "# HELP briarreel_store_era_marked The store names its era, so that it is settled.\n"
+		   "# TYPE briarreel_store_era_marked gauge\nbriarreel_store_era_marked %d\n",
+		   b->era_mark == BR_ERA_MARK_PRESENT);
 	buf_printf(out,
 		   "# TYPE briarreel_target_connections_total counter\n"
 		   "briarreel_target_connections_total %" PRIu64 "\n",
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -5,6 +5,7 @@
 #include "mesh/event_log.h"
 #include "mesh/keeper_link.h"
 #include "mesh/peer_format.h"
+#include "mesh/start_check.h"
 #include "platform/fields.h"
 
 #include <errno.h>
@@ -255,19 +256,30 @@
 	free_conn(pc);
 }
 
+/* Answers a node that asks for something else than a job. Returns false if it does not. */
+static bool answer_question(struct board *board, const struct http_msg *m, struct buf *out)
+{
+	const char *fetch = http_msg_find_field(m, KEEPER_FETCH_FIELD);
+
+	if (fetch)
+		keeper_link_answer_fetch(board, fetch, out);
+	else if (http_msg_find_field(m, START_FIELD))
+		start_check_answer(board, m, out);
+	else
+		return false;
+	return true;
+}
+
 static void on_message(struct http_conn *c, struct http_msg *m)
 {
 	struct peer_conn *pc = http_conn_owner(c);
 	struct board *board = pc->server->board;
 	const char *text = http_msg_find_field(m, PEER_JOB_FIELD);
-	const char *fetch = http_msg_find_field(m, KEEPER_FETCH_FIELD);
 	const char *id = http_msg_find_field(m, platform_field_name(PLATFORM_FIELD_REQUEST_ID));
 	uint64_t now_us = clock_now_us(), arrived_us;
+	struct buf b = {0};
 
-	if (!pc->busy && !text && fetch) {
-		struct buf b = {0};
-
-		keeper_link_answer_fetch(board, fetch, &b);
+	if (!pc->busy && !text && answer_question(board, m, &b)) {
 		http_msg_destroy(m);
 		http_conn_send(c, &b);
 		return;
--- a/mesh/view_watch.c
+++ b/mesh/view_watch.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "mesh/election.h"
+#include "mesh/era_mark.h"
 #include "mesh/event_log.h"
 #include "mesh/members.h"
 #include "mesh/presence.h"
@@ -84,6 +85,8 @@
 		 */
 		if (!usable && !strcmp(node, w->board->settings->node) && !w->board->stopping)
 			presence_write(w->presence);
+	} else if (!strcmp(item->key, ERA_MARK_KEY)) {
+		era_mark_read(w->board, item, position.era);
 	} else if (!strcmp(item->key, ELECTION_KEY) && !item->unreadable) {
 		w->keeper_key_found = !item->deleted;
 		election_set_keeper(w->election, item->deleted ? NULL : item->value, item->lease,
@@ -188,8 +191,10 @@
 		pause_calls(w, RETRY_MS);
 		return;
 	}
-	if (!w->range_after[0])
+	if (!w->range_after[0]) {
 		w->range_position = r->position;
+		w->board->era_mark = BR_ERA_MARK_NONE;
+	}
 	for (size_t i = 0; i < r->n_items; i++)
 		apply_item(w, r, &r->items[i]);
 	if (next && br_copy_text(w->range_after, sizeof(w->range_after), next)) {
--- a/tests/unit/store_era.c
+++ b/tests/unit/store_era.c
@@ -77,3 +77,55 @@
 		cr_assert_eq(era, 0, "\"%s\"", odd[i]);
 	}
 }
+
+/* Guards against keys, and a first configuration, of a store that may lack a later version (review/12). */
+Test(store_era, what_the_store_proves)
+{
+	static const struct {
+		struct br_store_trust trust;
+		bool settled, config, keys;
+	} rows[] = {
+		/* Nothing has been lost lately. */
+		{{.era_is_old = true}, true, true, true},
+		{{.mark = BR_ERA_MARK_PRESENT, .told_version = 9}, true, true, true},
+		/* Nothing is known of the era. */
+		{{.mark = BR_ERA_MARK_UNREAD}, false, false, false},
+		{{.mark = BR_ERA_MARK_NONE}, false, false, false},
+		{{.mark = BR_ERA_MARK_OTHER, .knows_history = true}, false, false, false},
+		/* A new system has no history. */
+		{{.mark = BR_ERA_MARK_NONE, .others_asked = true}, false, true, true},
+		/* The others have started as well, or there are none. */
+		{{.mark = BR_ERA_MARK_OTHER, .others_asked = true}, false, true, false},
+		{{.mark = BR_ERA_MARK_OTHER, .others_asked = true, .knows_history = true},
+		 false,
+		 true,
+		 true},
+		{{.mark = BR_ERA_MARK_UNREAD, .others_asked = true, .knows_history = true},
+		 false,
+		 true,
+		 true},
+		/* They know a later version than the store. */
+		{{.mark = BR_ERA_MARK_OTHER,
+		  .others_asked = true,
+		  .knows_history = true,
+		  .version = 4,
+		  .told_version = 5},
+		 false,
+		 false,
+		 false},
+		{{.mark = BR_ERA_MARK_OTHER,
+		  .others_asked = true,
+		  .knows_history = true,
+		  .version = 5,
+		  .told_version = 5},
+		 false,
+		 true,
+		 true},
+	};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		cr_assert_eq(br_store_is_settled(&rows[i].trust), rows[i].settled, "row %zu", i);
+		cr_assert_eq(br_store_proves_config(&rows[i].trust), rows[i].config, "row %zu", i);
+		cr_assert_eq(br_store_proves_keys(&rows[i].trust), rows[i].keys, "row %zu", i);
+	}
+}
