--- a/include/briarreel/left_list.h
+++ b/include/briarreel/left_list.h
@@ -31,6 +31,9 @@
 /** Adds the targets of another list before those of l, which are later ones. */
 void br_left_merge_earlier(struct br_left_list *l, const struct br_left_list *earlier);
 
+/** Adds what l lacks of another list, but nothing that is earlier than all of a full one. Returns false if l is as before. */
+bool br_left_add_missing(struct br_left_list *l, const struct br_left_list *other);
+
 /** Tests whether the incarnation has left that started at start_ms; false if that is 0, unknown. */
 bool br_left_contains(const struct br_left_list *l, const char *id, uint64_t start_ms);
 
--- a/lib/left_list.c
+++ b/lib/left_list.c
@@ -45,6 +45,23 @@
 	*l = merged;
 }
 
+bool br_left_add_missing(struct br_left_list *l, const struct br_left_list *other)
+{
+	uint32_t changes = l->changes;
+
+	for (uint32_t i = 0; i < other->n; i++) {
+		const struct br_left *known = find(l, other->entries[i].id);
+
+		/* It would take the place of a later one. */
+		if (!known && l->n == BR_LEFT_MAX &&
+		    other->entries[i].started_until_ms <= l->entries[0].started_until_ms)
+			continue;
+		if (!known || known->started_until_ms < other->entries[i].started_until_ms)
+			br_left_add(l, other->entries[i].id, other->entries[i].started_until_ms);
+	}
+	return l->changes != changes;
+}
+
 bool br_left_contains(const struct br_left_list *l, const char *id, uint64_t start_ms)
 {
 	const struct br_left *known = find(l, id);
--- a/mesh/board.h
+++ b/mesh/board.h
@@ -28,6 +28,7 @@
 	struct br_position position;
 };
 
+struct left_holder;
 struct left_record;
 struct start_check;
 struct store;
@@ -111,6 +112,7 @@
 	struct target *target;
 	struct target_search *target_search;
 	struct left_record *left_record;
+	struct left_holder *left_holder;
 	struct start_check *start_check;
 	struct quota *quota;
 	/**
--- a/mesh/left_record.c
+++ b/mesh/left_record.c
@@ -3,6 +3,8 @@
 #include "common/clock.h"
 #include "common/json.h"
 #include "mesh/event_log.h"
+#include "mesh/left_copies.h"
+#include "mesh/left_format.h"
 #include "mesh/target.h"
 #include "net/timer.h"
 #include "platform/store.h"
@@ -17,11 +19,8 @@
 #define RETRY_MS 200
 /* Reports and leaving targets are gone by then; the longest lifetime that the store grants. */
 #define LIFETIME_MS (10 * 60 * 1000)
-/*
- * An acknowledgement counts within a second. If the store takes longer than this, the target is
- * acknowledged without it: a target that gets no answer would only leave later.
- */
-#define ACK_WAIT_US (500 * BR_US_PER_MS)
+/* An acknowledgement counts within a second. */
+#define ACK_WAIT_US (750 * BR_US_PER_MS)
 #define WAIT_CHECK_MS 50
 
 struct left_record {
@@ -31,6 +30,7 @@
 	/** Value of br_left_list.changes that is stored, and that is being written. */
 	uint32_t stored_changes, writing_changes;
 	bool call_pending, loaded;
+	struct left_copies *copies;
 	TAILQ_HEAD(, left_wait) waits;
 };
 
@@ -44,14 +44,30 @@
 	return r->stored_changes == list_of(r)->changes;
 }
 
+bool left_record_is_stored(const struct left_record *r)
+{
+	return r->loaded && is_stored(r);
+}
+
+bool left_record_is_loaded(const struct left_record *r)
+{
+	return r->loaded;
+}
+
+bool left_record_outlives(const struct left_record *r)
+{
+	return is_stored(r) || left_copies_count(r->copies) > 0;
+}
+
 static void end_wait(struct left_record *r, struct left_wait *w)
 {
 	left_record_cancel(r, w);
 	w->done(w);
 }
 
-static void end_waits(struct left_record *r, bool all)
+static void end_waits(struct left_record *r)
 {
+	bool all = is_stored(r) || left_copies_count(r->copies) >= left_copies_enough(r->copies);
 	uint64_t now_us = clock_now_us();
 	struct left_wait *next;
 
@@ -66,7 +82,12 @@
 
 static void on_wait_timer(void *arg)
 {
-	end_waits(arg, false);
+	end_waits(arg);
+}
+
+static void on_copies_held(void *ctx)
+{
+	end_waits(ctx);
 }
 
 static void start_call(struct left_record *r);
@@ -89,17 +110,6 @@
 		r->retry_timer = timer_start(r->board->loop, RETRY_MS, on_retry_timer, r);
 }
 
-static void read_entry(struct json_object *o, struct br_left_list *out)
-{
-	const char *id = json_member_text(o, "id");
-	uint64_t until_ms;
-
-	if (id && strlen(id) < BR_NAME_BYTES && json_member_u64(o, "started_until_ms", &until_ms))
-		br_left_add(out, id, until_ms);
-	else
-		EVENT(EVENT_WARNING, "left", "entry_unreadable", EVENT_TEXT("id", id ? id : ""));
-}
-
 static void read_value(const struct left_record *r, const struct store_item *item,
 		       struct br_left_list *out)
 {
@@ -109,8 +119,8 @@
 	if (!list)
 		EVENT(EVENT_WARNING, "left", "unreadable", EVENT_TEXT("key", r->key),
 		      EVENT_NUMBER("bytes", item->len));
-	for (size_t i = 0; list && i < json_object_array_length(list); i++)
-		read_entry(json_object_array_get_idx(list, i), out);
+	else
+		left_read(list, out);
 	json_object_put(o);
 }
 
@@ -127,7 +137,7 @@
 			EVENT(EVENT_INFO, "left", "read", EVENT_NUMBER("targets", earlier.n),
 			      EVENT_TEXT("latest", earlier.entries[earlier.n - 1].id));
 		r->loaded = true;
-		target_restore_left(r->board->target, &earlier);
+		target_add_earlier_left(r->board->target, &earlier);
 	}
 	end_call(r, ok);
 }
@@ -139,24 +149,16 @@
 
 	if (ok)
 		r->stored_changes = r->writing_changes;
-	if (ok && is_stored(r))
-		end_waits(r, true);
+	if (ok)
+		end_waits(r);
 	end_call(r, ok);
 }
 
 static void write_value(const struct br_left_list *l, struct buf *out)
 {
-	struct json_object *o = json_object_new_object(), *list = json_object_new_array();
+	struct json_object *o = json_object_new_object();
 
-	for (uint32_t i = 0; i < l->n; i++) {
-		struct json_object *entry = json_object_new_object();
-
-		json_object_object_add(entry, "id", json_object_new_string(l->entries[i].id));
-		json_object_object_add(entry, "started_until_ms",
-				       json_object_new_uint64(l->entries[i].started_until_ms));
-		json_object_array_add(list, entry);
-	}
-	json_object_object_add(o, "left", list);
+	json_object_object_add(o, "left", left_write(l));
 	buf_append_text(out, json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
 	json_object_put(o);
 }
@@ -196,6 +198,7 @@
 void left_record_write(struct left_record *r)
 {
 	start_call(r);
+	left_copies_send(r->copies);
 }
 
 void left_record_write_again(struct left_record *r)
@@ -204,11 +207,12 @@
 	if (list_of(r)->n)
 		r->stored_changes = list_of(r)->changes - 1;
 	start_call(r);
+	left_copies_send(r->copies);
 }
 
 bool left_record_wait(struct left_record *r, struct left_wait *w)
 {
-	if (is_stored(r))
+	if (is_stored(r) || left_copies_count(r->copies) >= left_copies_enough(r->copies))
 		return false;
 	w->until_us = clock_now_us() + ACK_WAIT_US;
 	w->waiting = true;
@@ -234,6 +238,7 @@
 	TAILQ_INIT(&r->waits);
 	snprintf(r->key, sizeof(r->key), KEY_PREFIX "%s", board->settings->node);
 	r->loaded = board->settings->first_start;
+	r->copies = left_copies_create(board, on_copies_held, r);
 	start_call(r);
 	return r;
 }
@@ -244,5 +249,6 @@
 		return;
 	timer_cancel(&r->retry_timer);
 	timer_cancel(&r->wait_timer);
+	left_copies_destroy(r->copies);
 	free(r);
 }
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -7,6 +7,7 @@
 #include "mesh/era_mark.h"
 #include "mesh/event_log.h"
 #include "mesh/keeper_link.h"
+#include "mesh/left_holder.h"
 #include "mesh/left_record.h"
 #include "mesh/members.h"
 #include "mesh/peer.h"
@@ -336,6 +337,7 @@
 	b->target = target_create(b, on_target_changed, n);
 	b->target_search = target_search_create(b);
 	b->left_record = left_record_create(b);
+	b->left_holder = left_holder_create(b);
 	b->start_check = start_check_create(b, on_others_asked, n);
 	n->keeper_link = keeper_link_create(b);
 	b->quota = quota_create(b, n->keeper_link);
--- a/mesh/metrics.c
+++ b/mesh/metrics.c
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "mesh/config_watch.h"
 #include "mesh/event_log.h"
+#include "mesh/left_holder.h"
 #include "mesh/members.h"
 #include "mesh/target.h"
 #include "platform/store.h"
@@ -114,9 +115,14 @@
 	buf_printf(out, "# TYPE briarreel_store_era gauge\nbriarreel_store_era %" PRIu64 "\n",
 		   store_era(b->store));
 	buf_printf(out,
-		   "# HELP briarreel_store_era_marked The store names its era, so that it is settled.\n"
+		   "# HELP briarreel_store_era_marked The store names its era, so that it is "
+		   "settled.\n"
 		   "# TYPE briarreel_store_era_marked gauge\nbriarreel_store_era_marked %d\n",
 		   b->era_mark == BR_ERA_MARK_PRESENT);
+	buf_printf(out,
+		   "# HELP briarreel_left_held Nodes whose targets that left this node remembers.\n"
+		   "# TYPE briarreel_left_held gauge\nbriarreel_left_held %u\n",
+		   b->left_holder ? left_holder_count(b->left_holder) : 0);
 	buf_printf(out,
 		   "# TYPE briarreel_target_connections_total counter\n"
 		   "briarreel_target_connections_total %" PRIu64 "\n",
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -4,6 +4,7 @@
 #include "mesh/config_watch.h"
 #include "mesh/event_log.h"
 #include "mesh/keeper_link.h"
+#include "mesh/left_holder.h"
 #include "mesh/peer_format.h"
 #include "mesh/start_check.h"
 #include "platform/fields.h"
@@ -263,6 +264,8 @@
 
 	if (fetch)
 		keeper_link_answer_fetch(board, fetch, out);
+	else if (http_msg_find_field(m, LEFT_FIELD))
+		left_holder_answer(board->left_holder, m, out);
 	else if (http_msg_find_field(m, START_FIELD))
 		start_check_answer(board, m, out);
 	else
--- a/mesh/service.c
+++ b/mesh/service.c
@@ -32,7 +32,7 @@
 	struct service_server *server;
 	struct http_conn *conn;
 	LIST_ENTRY(service_conn) link;
-	/** The acknowledgement of a report or a leaving waits until the leaving is stored. */
+	/** The acknowledgement of a leaving waits until it outlives this process. */
 	struct left_wait wait;
 };
 
@@ -66,18 +66,33 @@
 	send_answer(sc, board->config && !board->stopping ? 200 : 503, "application/json", &body);
 }
 
-static void on_left_stored(struct left_wait *w)
+/*
+ * An acknowledged leaving binds also the next process of this node. Where neither the store nor another node
+ * has it, the target is told that it was not taken, and leaves by itself later.
+ */
+static void answer_leaving(struct service_conn *sc)
+{
+	bool kept = left_record_outlives(sc->server->board->left_record);
+
+	if (!kept)
+		EVENT(EVENT_WARNING, "left", "not_acknowledged",
+		      EVENT_TEXT("target", target_status(sc->server->board->target)->id),
+		      EVENT_NUMBER("store_unreachable", sc->server->board->store_unreachable));
+	send_json_answer(sc, kept ? 200 : 503);
+}
+
+static void on_wait_over(struct left_wait *w)
 {
 	struct service_conn *sc =
 		(struct service_conn *)((char *)w - offsetof(struct service_conn, wait));
 
-	send_json_answer(sc, 200);
+	answer_leaving(sc);
 }
 
-/* Acknowledges what a target has said, once the next process of this node would know it too. */
-static void acknowledge(struct service_conn *sc)
+/* Acknowledges a leaving once the next process of this node would know it too. */
+static void acknowledge_leaving(struct service_conn *sc)
 {
-	sc->wait.done = on_left_stored;
+	sc->wait.done = on_wait_over;
 	if (!left_record_wait(sc->server->board->left_record, &sc->wait))
 		send_json_answer(sc, 200);
 }
@@ -88,7 +103,7 @@
 	if (!sc->wait.waiting)
 		return;
 	left_record_cancel(sc->server->board->left_record, &sc->wait);
-	send_json_answer(sc, 200);
+	answer_leaving(sc);
 }
 
 static void handle_report(struct service_conn *sc, const struct http_msg *m, const char *id)
@@ -110,7 +125,10 @@
 	}
 	if (target_needs_confirmation(board->target))
 		target_search_start(board->target_search);
-	acknowledge(sc);
+	if (report.state == REPORTED_DRAINING)
+		acknowledge_leaving(sc);
+	else
+		send_json_answer(sc, 200);
 }
 
 static void on_message(struct http_conn *c, struct http_msg *m)
@@ -136,7 +154,7 @@
 		break;
 	case PLATFORM_CALL_LEAVE:
 		target_leave(board->target, id);
-		acknowledge(sc);
+		acknowledge_leaving(sc);
 		break;
 	case PLATFORM_CALL_UNKNOWN:
 		send_json_answer(sc, 404);
--- a/mesh/start_check.c
+++ b/mesh/start_check.c
@@ -4,15 +4,18 @@
 #include "common/json.h"
 #include "mesh/era_mark.h"
 #include "mesh/event_log.h"
+#include "mesh/left_holder.h"
+#include "mesh/left_record.h"
 #include "mesh/neighbours.h"
 #include "mesh/node_message.h"
+#include "mesh/target.h"
 #include "net/timer.h"
 
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Number of nodes that are asked. */
+/* Number of nodes that are asked; those that hold this node's list are among the first. */
 #define ASKED_MAX 16
 #define CALL_TIMEOUT_MS 300
 #define CHECK_MS 20
@@ -26,6 +29,8 @@
 #define ASK_LOST_US (1500 * BR_US_PER_MS)
 /* Nodes whose entries the store has lost write them again within this time. */
 #define ENTRIES_US (2500 * BR_US_PER_MS)
+/* Time for a node that holds this node's list to offer it at least once. */
+#define RETURN_US ((LEFT_RETURN_INTERVAL_MS + 100) * BR_US_PER_MS)
 
 /** A question to one node. */
 struct question {
@@ -41,9 +46,11 @@
 	struct timer *timer;
 	struct question questions[ASKED_MAX];
 	uint32_t n_questions, n_active, n_answered;
+	/** Largest number of members that an answer has told. */
+	uint64_t members_told;
 	bool history_told;
-	/** Start of the present check, and earliest time of the next round. */
-	uint64_t begun_us, next_round_us;
+	/** Start of this process, of the present check, and earliest time of the next round. */
+	uint64_t created_us, begun_us, next_round_us;
 	/** Time at which the members were first known in the present check; 0 before. */
 	uint64_t view_known_us;
 };
@@ -51,13 +58,20 @@
 static void read_answer(struct start_check *s, struct json_object *o,
 			const struct sockaddr_in *from)
 {
-	uint64_t version = 0;
+	struct json_object *left = json_member_array(o, "left");
+	struct br_left_list list = {0};
+	uint64_t version = 0, members = 0;
 
 	s->n_answered++;
+	if (json_member_u64(o, "members", &members) && members > s->members_told)
+		s->members_told = members;
 	if (json_member_u64(o, "version", &version))
 		board_report_version(s->board, version, from);
 	if (json_member_bool(o, "knows_history"))
 		s->history_told = true;
+	if (left)
+		left_read(left, &list);
+	target_add_left(s->board->target, &list);
 }
 
 static void on_answer(struct http_call *call, enum http_call_result call_result,
@@ -118,6 +132,13 @@
 	return s->n_questions && now_us - s->view_known_us >= (lost ? ASK_LOST_US : ASK_US);
 }
 
+/* Tests whether all nodes were asked that may hold this node's list, as far as others know. */
+static bool asked_all(const struct start_check *s)
+{
+	return s->n_answered && s->n_answered == s->n_questions &&
+	       s->members_told <= members_count(s->board->members);
+}
+
 static void finish_questions(struct start_check *s, uint64_t now_us)
 {
 	s->board->others_asked = true;
@@ -145,19 +166,40 @@
 
 static void on_check(void *arg)
 {
+	static const struct br_left_list nothing;
 	struct start_check *s = arg;
+	struct target *t = s->board->target;
+	uint64_t now_us = clock_now_us();
 
-	check_questions(s, clock_now_us());
-	if (s->board->others_asked)
-		timer_cancel(&s->timer);
+	if (!s->board->others_asked)
+		check_questions(s, now_us);
+	if (!s->board->others_asked || !left_record_is_loaded(s->board->left_record) ||
+	    (!asked_all(s) && now_us - s->created_us < RETURN_US))
+		return;
+	if (target_awaits_left(t))
+		target_restore_left(t, &nothing);
+	timer_cancel(&s->timer);
+}
+
+static void cancel_questions(struct start_check *s)
+{
+	for (uint32_t i = 0; i < s->n_questions; i++)
+		if (http_call_active(&s->questions[i].call))
+			http_call_cancel(&s->questions[i].call);
+	s->n_questions = 0;
+	s->n_active = 0;
+	s->n_answered = 0;
 }
 
 void start_check_again(struct start_check *s)
 {
+	/* Answers to earlier questions may be of before the store's return. */
+	cancel_questions(s);
 	s->board->others_asked = false;
 	s->begun_us = clock_now_us();
 	s->view_known_us = 0;
 	s->history_told = false;
+	s->members_told = 0;
 	if (!s->timer)
 		s->timer = timer_repeat(s->board->loop, CHECK_MS, on_check, s);
 }
@@ -169,6 +211,7 @@
 	s->board = board;
 	s->asked = asked;
 	s->ctx = ctx;
+	s->created_us = clock_now_us();
 	board->others_asked = board->settings->first_start;
 	board->knows_history = board->settings->first_start;
 	if (!board->settings->first_start)
@@ -181,9 +224,7 @@
 	if (!s)
 		return;
 	timer_cancel(&s->timer);
-	for (uint32_t i = 0; i < s->n_questions; i++)
-		if (http_call_active(&s->questions[i].call))
-			http_call_cancel(&s->questions[i].call);
+	cancel_questions(s);
 	free(s);
 }
 
@@ -191,6 +232,7 @@
 {
 	struct json_object *question = node_message_read(m), *o;
 	const char *node = question ? json_member_text(question, "node") : NULL;
+	const struct br_left_list *left = node ? left_holder_find(board->left_holder, node) : NULL;
 
 	if (!node) {
 		node_message_write_answer(out, 400, NULL);
@@ -203,6 +245,8 @@
 	json_object_object_add(o, "knows_history",
 			       json_object_new_boolean(board->config && board->knows_history));
 	json_object_object_add(o, "members", json_object_new_uint64(members_count(board->members)));
+	if (left)
+		json_object_object_add(o, "left", left_write(left));
 	node_message_write_answer(out, 200, o);
 	json_object_put(question);
 }
--- a/mesh/start_check.h
+++ b/mesh/start_check.h
@@ -1,7 +1,8 @@
 /**
  * @file start_check.h
  * Asks other nodes what a process that has started can't know: which version of the configuration they have,
- * since the store may have come back from an older copy.
+ * since the store may have come back from an older copy, and which targets of this VM have left, since the
+ * store may have been away then, and health answers may be false.
  */
 #ifndef MESH_START_CHECK_H
 #define MESH_START_CHECK_H
@@ -15,8 +16,8 @@
 struct start_check;
 
 /**
- * Starts asking, but at the first start of the whole system. Sets board.others_asked and calls asked(ctx).
- * board->members must exist and outlive the result.
+ * Starts asking, but at the first start of the whole system. Sets board.others_asked, calls asked(ctx) and
+ * target_restore_left(). board->members, target and left_record must exist and outlive the result.
  */
 struct start_check *start_check_create(struct board *board, void (*asked)(void *ctx), void *ctx);
 
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -169,12 +169,6 @@
 	return !t->left_restored;
 }
 
-void target_restore_left(struct target *t, const struct br_left_list *earlier)
-{
-	t->left_restored = true;
-	br_left_merge_earlier(&t->left, earlier);
-}
-
 /* Remembers that a target has left; start_ms is 0 if the start of its incarnation is not known. */
 static void remember_left(struct target *t, const char *id, uint64_t start_ms)
 {
@@ -182,7 +176,7 @@
 	br_left_add(&t->left, id, start_ms ? start_ms : clock_wall_ms());
 }
 
-static void set_phase(struct target *t, enum target_phase phase, const char *why)
+static void change_phase(struct target *t, enum target_phase phase, const char *why)
 {
 	static const char *const names[] = {"absent", "serving", "leaving", "gone"};
 
@@ -192,8 +186,6 @@
 	      EVENT_NUMBER("slots", t->status.slots));
 	if (phase != TARGET_SERVING)
 		t->confirmable_us = clock_now_us();
-	if (phase != TARGET_SERVING && t->status.phase != TARGET_LEAVING)
-		remember_left(t, t->status.id, t->incarnation.start_ms);
 	t->status.phase = phase;
 	if (phase == TARGET_LEAVING)
 		t->leaving_until_us = clock_now_us() + t->board->settings->drain_ms * BR_US_PER_MS /
@@ -203,6 +195,48 @@
 	t->changed(t->ctx);
 }
 
+static void set_phase(struct target *t, enum target_phase phase, const char *why)
+{
+	if (phase != TARGET_SERVING && t->status.phase != TARGET_LEAVING)
+		remember_left(t, t->status.id, t->incarnation.start_ms);
+	change_phase(t, phase, why);
+}
+
+/* Tests whether a target is known to have left; start_ms is 0 if its start is not known. */
+static bool has_left(const struct target *t, const char *id, uint64_t start_ms)
+{
+	return start_ms ? br_left_contains(&t->left, id, start_ms) : br_left_names(&t->left, id);
+}
+
+/* The list has the target already, so that its start, if unknown, is not taken for one of now. */
+static void close_if_left(struct target *t)
+{
+	if (t->status.phase == TARGET_SERVING && has_left(t, t->status.id, t->incarnation.start_ms))
+		change_phase(t, TARGET_CLOSED, "another node knows that it has left");
+}
+
+void target_add_earlier_left(struct target *t, const struct br_left_list *earlier)
+{
+	br_left_merge_earlier(&t->left, earlier);
+	close_if_left(t);
+}
+
+void target_add_left(struct target *t, const struct br_left_list *left)
+{
+	if (!br_left_add_missing(&t->left, left))
+		return;
+	EVENT(EVENT_INFO, "left", "told", EVENT_NUMBER("targets", left->n),
+	      EVENT_TEXT("latest", left->entries[left->n - 1].id));
+	close_if_left(t);
+	t->changed(t->ctx);
+}
+
+void target_restore_left(struct target *t, const struct br_left_list *earlier)
+{
+	t->left_restored = true;
+	target_add_left(t, earlier);
+}
+
 static uint32_t concurrency_limit(uint32_t slots)
 {
 	uint32_t used = slots * SLOTS_USED_PERCENT / 100;
--- a/mesh/target.h
+++ b/mesh/target.h
@@ -57,9 +57,18 @@
 /** The targets that have left, as far as this process and earlier ones of this node know. */
 const struct br_left_list *target_left(const struct target *t);
 
+/** Adds what earlier processes of this node have stored; the own list has the later ones. */
+void target_add_earlier_left(struct target *t, const struct br_left_list *earlier);
+
+/**
+ * Adds targets that have left as another node knows from an earlier process of this one. The current target
+ * is closed if it is one of them.
+ */
+void target_add_left(struct target *t, const struct br_left_list *left);
+
 /**
- * Adds the targets that earlier processes of this node knew to have left. After a restart of the node
- * alone no target is confirmed before that.
+ * Tells that all is added that can be known of earlier processes, and adds the given list. After a restart
+ * of the node alone no target is confirmed before that.
  */
 void target_restore_left(struct target *t, const struct br_left_list *earlier);
 
--- a/tests/unit/left_list.c
+++ b/tests/unit/left_list.c
@@ -74,3 +74,25 @@
 	cr_assert(br_left_contains(&l, "t7", 6000));
 	cr_assert_str_eq(l.entries[BR_LEFT_MAX - 1].id, "t8");
 }
+
+/* Guards against a list that two nodes send each other for ever, and against a later leaving that is lost. */
+Test(left_list, what_another_node_held_is_added_once)
+{
+	struct br_left_list l = {0}, other = {0};
+	char id[8];
+
+	br_left_add(&l, "t1", 5000);
+	br_left_add(&other, "t1", 6000);
+	br_left_add(&other, "t2", 4000);
+	cr_assert(br_left_add_missing(&l, &other));
+	cr_assert(br_left_contains(&l, "t1", 6000));
+	cr_assert(br_left_contains(&l, "t2", 4000));
+	cr_assert_not(br_left_add_missing(&l, &other));
+	for (int i = 0; i < BR_LEFT_MAX; i++) {
+		snprintf(id, sizeof(id), "n%d", i);
+		br_left_add(&l, id, 7000);
+	}
+	cr_assert_not(br_left_add_missing(&l, &other));
+	cr_assert_not(br_left_names(&l, "t2"));
+	cr_assert(br_left_names(&l, "n0"));
+}
