--- a/mesh/board.h
+++ b/mesh/board.h
@@ -95,6 +95,9 @@
 	struct sockaddr_in told_by;
 	/** NULL until the first configuration is known. */
 	struct mesh_config *config;
+	/** Called when another configuration is in force; NULL if nobody needs to know. */
+	void (*on_config)(void *ctx);
+	void *on_config_ctx;
 	/** Latest time at which the store was known to hold no newer configuration. */
 	uint64_t confirmed_us;
 	/** The configuration's text as the store holds it, and its position there. */
--- a/mesh/caller.c
+++ b/mesh/caller.c
@@ -7,11 +7,6 @@
 #include <stdlib.h>
 #include <sys/queue.h>
 
-/* Limits in force until the first configuration sets its own. */
-#define DEFAULT_HEADER_BYTES 16384
-#define DEFAULT_BODY_BYTES (64ULL * 1024 * 1024)
-#define DEFAULT_HEADER_TIMEOUT_MS 3000
-#define DEFAULT_IDLE_TIMEOUT_MS 15000
 /*
  * Maximum number of unanswered requests on one connection. If another request arrives, the
  * connection is closed after the answer to the last of them.
@@ -234,15 +229,34 @@
 	.closed = on_closed,
 };
 
+/*
+ * Limits of what callers send. A node that knows no configuration refuses each request as not run, so that
+ * only its memory bounds what it reads of them: it can't know that one is too long.
+ */
+static struct http_limits caller_limits(struct board *b)
+{
+	return (struct http_limits){
+		.header_bytes = b->config ? b->config->header_bytes : UINT32_MAX,
+		.body_bytes = b->config ? b->config->body_bytes : UINT64_MAX,
+		.budget = &b->messages,
+	};
+}
+
+/* Kept connections follow the configuration as well. */
+static void on_config(void *ctx)
+{
+	struct caller_server *s = ctx;
+	struct http_limits limits = caller_limits(s->board);
+	struct caller_conn *c;
+
+	LIST_FOREACH(c, &s->callers, link)
+	http_conn_set_sizes(c->conn, limits.header_bytes, limits.body_bytes);
+}
+
 static void on_accept(uv_stream_t *listener, int status)
 {
 	struct caller_server *s = listener->data;
-	const struct mesh_config *config = s->board->config;
-	struct http_limits limits = {
-		.header_bytes = config ? config->header_bytes : DEFAULT_HEADER_BYTES,
-		.body_bytes = config ? config->body_bytes : DEFAULT_BODY_BYTES,
-		.budget = &s->board->messages,
-	};
+	struct http_limits limits = caller_limits(s->board);
 	struct caller_conn *c;
 
 	if (status)
@@ -266,6 +280,8 @@
 		free(s);
 		return NULL;
 	}
+	board->on_config = on_config;
+	board->on_config_ctx = s;
 	return s;
 }
 
@@ -273,6 +289,7 @@
 {
 	if (!s)
 		return;
+	s->board->on_config = NULL;
 	uv_close((uv_handle_t *)&s->listener, NULL);
 	for (struct caller_conn *next, *c = LIST_FIRST(&s->callers); c; c = next) {
 		next = LIST_NEXT(c, link);
@@ -289,12 +306,14 @@
 static bool timed_out(const struct caller_conn *c, uint64_t now_us)
 {
 	const struct mesh_config *config = c->server->board->config;
-	uint64_t header_ms = config ? config->header_timeout_ms : DEFAULT_HEADER_TIMEOUT_MS;
-	uint64_t idle_ms = config ? config->idle_timeout_ms : DEFAULT_IDLE_TIMEOUT_MS;
 	uint64_t begun_us = http_conn_msg_begun_us(c->conn);
+	uint64_t header_ms, idle_ms;
 
-	if (c->head)
+	/* Without a configuration nobody knows how long callers may take. */
+	if (c->head || !config)
 		return false;
+	header_ms = config->header_timeout_ms;
+	idle_ms = config->idle_timeout_ms;
 	if (begun_us && now_us - begun_us > header_ms * BR_US_PER_MS &&
 	    now_us - http_conn_received_us(c->conn) > header_ms * BR_US_PER_MS)
 		return true;
--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -139,6 +139,8 @@
 	buf_free(&board->config_text);
 	buf_append(&board->config_text, text, len);
 	board->config_position = *position;
+	if (board->on_config)
+		board->on_config(board->on_config_ctx);
 	board_report_progress(board);
 	return 0;
 }
--- a/mesh/peer.c
+++ b/mesh/peer.c
@@ -165,7 +165,6 @@
 	conn_pool_send(m->pool, &job->call, &b);
 }
 
-#define REQUEST_HEADER_MAX_BYTES 131072
 /* Longer than other nodes keep idle connections to this server. */
 #define SERVER_IDLE_US (15 * BR_US_PER_S)
 
@@ -344,10 +343,18 @@
 	.closed = on_closed,
 };
 
+/* A job's header has the caller's fields, whose size is the configuration's at the node that sends it. */
+static uint32_t header_max_bytes(const struct board *b)
+{
+	size_t bytes = b->messages.limit_bytes / BOARD_MESSAGE_DIVISOR;
+
+	return bytes < UINT32_MAX ? (uint32_t)bytes : UINT32_MAX;
+}
+
 static void on_accept(uv_stream_t *listener, int status)
 {
 	struct peer_server *s = listener->data;
-	struct http_limits limits = board_message_limits(s->board, REQUEST_HEADER_MAX_BYTES);
+	struct http_limits limits = board_message_limits(s->board, header_max_bytes(s->board));
 	struct peer_conn *pc;
 
 	if (status)
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -345,6 +345,11 @@
 	return c;
 }
 
+void http_conn_set_sizes(struct http_conn *c, uint32_t header_bytes, uint64_t body_bytes)
+{
+	http_receiver_set_sizes(&c->receiver, header_bytes, body_bytes);
+}
+
 void http_conn_expect_no_body(struct http_conn *c, bool no_body)
 {
 	c->receiver.no_body = no_body;
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -49,6 +49,9 @@
 
 void *http_conn_owner(const struct http_conn *c);
 
+/** Sets the maximum sizes of messages, see http_receiver_set_sizes(). */
+void http_conn_set_sizes(struct http_conn *c, uint32_t header_bytes, uint64_t body_bytes);
+
 /** Clients only: sets whether the next answer is one to HEAD, which has no body. */
 void http_conn_expect_no_body(struct http_conn *c, bool no_body);
 
--- a/net/http_receive.c
+++ b/net/http_receive.c
@@ -6,6 +6,9 @@
 #include <string.h>
 #include <strings.h>
 
+/* Bytes of a header for each byte of its names and values: a field of two bytes takes six. */
+#define HEADER_READ_FACTOR 4
+
 static int on_begin(http_parser *p)
 {
 	struct http_receiver *r = p->data;
@@ -17,6 +20,9 @@
 	r->value_open = false;
 	r->headers_done = false;
 	r->announced_bytes = UINT64_MAX;
+	r->header_bytes = r->limits.header_bytes;
+	r->body_bytes = r->limits.body_bytes;
+	r->header_read_bytes = 0;
 	r->begun_us = clock_now_us();
 	return r->ops->begin(r->ctx) ? 0 : -1;
 }
@@ -40,7 +46,7 @@
 {
 	struct buf *text = &r->msg->text;
 
-	if (text->len + len + 1 > r->limits.header_bytes)
+	if (text->len + len + 1 > r->header_bytes)
 		return set_error(r, 431);
 	if (charge(r, len))
 		return -1;
@@ -116,10 +122,10 @@
 /* Bytes of the message being received that may still arrive; one more shows that it is too long. */
 static uint64_t missing_bytes(const struct http_receiver *r)
 {
-	uint64_t body_bytes = r->limits.body_bytes;
+	uint64_t body_bytes = r->body_bytes;
 
 	if (!r->headers_done)
-		return r->limits.header_bytes - r->msg->text.len;
+		return r->header_bytes - r->msg->text.len;
 	if (r->announced_bytes <= body_bytes)
 		return r->announced_bytes - r->msg->body.len;
 	return body_bytes + 1 - r->msg->body.len;
@@ -179,7 +185,7 @@
 {
 	if ((p->flags & F_CHUNKED) || p->content_length == UINT64_MAX)
 		return 0;
-	if (p->content_length > r->limits.body_bytes)
+	if (p->content_length > r->body_bytes)
 		return set_error(r, 413);
 	r->announced_bytes = p->content_length;
 	if (r->announced_bytes && can_reserve(r, r->announced_bytes))
@@ -224,7 +230,7 @@
 	if (p->upgrade || p->http_major != 1)
 		return set_error(r, 400);
 	if (!(p->flags & F_CHUNKED) && p->content_length != UINT64_MAX &&
-	    p->content_length > r->limits.body_bytes)
+	    p->content_length > r->body_bytes)
 		return set_error(r, 413);
 	expect = http_msg_find_field(r->msg, "expect");
 	if (expect && !strcasecmp(expect, "100-continue"))
@@ -236,7 +242,7 @@
 {
 	struct http_receiver *r = p->data;
 
-	if (r->msg->body.len + len > r->limits.body_bytes)
+	if (len > r->body_bytes - r->msg->body.len)
 		return set_error(r, 413);
 	if (charge(r, len))
 		return -1;
@@ -278,6 +284,18 @@
 	r->parser.data = r;
 }
 
+void http_receiver_set_sizes(struct http_receiver *r, uint32_t header_bytes, uint64_t body_bytes)
+{
+	r->limits.header_bytes = header_bytes;
+	r->limits.body_bytes = body_bytes;
+	if (!r->msg)
+		return;
+	if (header_bytes > r->header_bytes)
+		r->header_bytes = header_bytes;
+	if (body_bytes > r->body_bytes)
+		r->body_bytes = body_bytes;
+}
+
 void http_receiver_release(struct http_receiver *r)
 {
 	release_kept_room(r);
@@ -286,10 +304,29 @@
 	r->begun_us = 0;
 }
 
-static uint16_t parse(struct http_receiver *r, const char *bytes, size_t len)
+/*
+ * Tests whether the header of a request is too long with what is not kept of it: separators, and blanks, of
+ * which there may be any number.
+ */
+static bool header_is_endless(struct http_receiver *r, size_t len)
 {
-	size_t used = http_parser_execute(&r->parser, &parser_settings, bytes, len);
+	if (!r->is_server || !r->msg || r->headers_done)
+		return false;
+	r->header_read_bytes += len;
+	return r->header_read_bytes >
+	       HEADER_READ_FACTOR * (uint64_t)r->header_bytes + HTTP_READ_BYTES;
+}
 
+static uint16_t parse(struct http_receiver *r, const char *bytes, size_t len)
+{
+	size_t used;
+
+	if (header_is_endless(r, len))
+		return 431;
+	/* The parser has a limit of its own, the same for all; that of requests is the configuration's. */
+	if (r->is_server && r->msg && !r->headers_done)
+		r->parser.nread = 0;
+	used = http_parser_execute(&r->parser, &parser_settings, bytes, len);
 	if (r->bad_status)
 		return r->bad_status;
 	return HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || used != len ? 400 : 0;
--- a/net/http_receive.h
+++ b/net/http_receive.h
@@ -40,6 +40,7 @@
 struct http_receiver {
 	const struct http_receiver_ops *ops;
 	void *ctx;
+	/** Limits of messages that begin from now on. */
 	struct http_limits limits;
 	http_parser parser;
 	/** Answers only: checks what the parser is given. */
@@ -48,6 +49,11 @@
 	bool is_server;
 	/** The message being received, or NULL. */
 	struct http_msg *msg;
+	/** Limits of that message, at least as large as when its first byte arrived. */
+	uint32_t header_bytes;
+	uint64_t body_bytes;
+	/** Requests only: bytes that were read of its header, blanks that are not kept too. */
+	uint64_t header_read_bytes;
 	/** Arrival time of its first byte, or 0; readable by the connection. */
 	uint64_t begun_us;
 	/** HTTP status to answer an invalid message with; 0 if none was found invalid. */
@@ -66,6 +72,12 @@
 void http_receiver_init(struct http_receiver *r, bool is_server, const struct http_limits *limits,
 			const struct http_receiver_ops *ops, void *ctx);
 
+/**
+ * Sets the maximum sizes of messages. One that is being received may have been sent under the earlier ones and
+ * gets the larger of both.
+ */
+void http_receiver_set_sizes(struct http_receiver *r, uint32_t header_bytes, uint64_t body_bytes);
+
 /** Frees the message being received and gives its room back. */
 void http_receiver_release(struct http_receiver *r);
 
