--- a/mesh/config_watch.c
+++ b/mesh/config_watch.c
@@ -50,8 +50,8 @@
 	uint64_t sent_us, probe_sent_us;
 	/** Time of the last configuration received from the keeper. */
 	uint64_t keeper_config_us;
-	/** Confirmation age at which this node probes the store itself. */
-	uint64_t probe_due_age_ms;
+	/** Random part from 0 to 1 of the spread of probe_age_ms(). */
+	double probe_spread;
 	/**
 	 * Latest store position seen by a read or watch; the revision is 0 to read the
 	 * configuration again.
@@ -242,12 +242,15 @@
 	EVENT(EVENT_INFO, "config", "store_back", EVENT_NUMBER("revision", w->position.revision));
 }
 
-/* Randomized per node, so that the first node to probe can confirm for the others. */
-static uint64_t probe_age_ms(struct config_watch *w)
+/*
+ * Confirmation age at which this node probes the store itself. It is spread over the nodes, so that the
+ * first one to probe can confirm for the others.
+ */
+static uint64_t probe_age_ms(const struct config_watch *w)
 {
-	uint64_t half_ms = w->board->settings->revocation_ms / 2;
+	double half_ms = (double)w->board->settings->revocation_ms / 2;
 
-	return half_ms + br_rng_below(&w->board->rng, half_ms / 3 + 1);
+	return (uint64_t)(half_ms + half_ms / 3 * w->probe_spread);
 }
 
 /* Backdates the confirmation, since the store may have withheld changes; see EVENT_LOSS_MS. */
@@ -300,7 +303,7 @@
 	struct config_watch *w = arg;
 
 	w->probe_pending = false;
-	w->probe_due_age_ms = probe_age_ms(w);
+	w->probe_spread = br_rng_unit(&w->board->rng);
 	if (r->result == STORE_COMPACTED)
 		w->position.revision = 0;
 	else if (r->result != STORE_OK)
@@ -315,7 +318,7 @@
 /* Probes the store if neither the keeper nor the watch has confirmed the configuration recently. */
 static void probe(struct config_watch *w)
 {
-	uint64_t limit_ms = w->probe_due_age_ms;
+	uint64_t limit_ms = probe_age_ms(w);
 
 	if (w->board->is_keeper && limit_ms > KEEPER_PROBE_AGE_MS)
 		limit_ms = KEEPER_PROBE_AGE_MS;
@@ -420,7 +423,7 @@
 	w->board = board;
 	w->link = link;
 	w->retry_delay_ms = RETRY_MIN_MS;
-	w->probe_due_age_ms = probe_age_ms(w);
+	w->probe_spread = br_rng_unit(&board->rng);
 	board->on_newer_version = on_newer_version;
 	board->on_newer_version_ctx = w;
 	w->started_us = clock_now_us();
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -160,6 +160,7 @@
 		return;
 	}
 	/* Changes of limits take effect at once; changes of addresses need a restart. */
+	n->settings.lease_min_ms = loaded.lease_min_ms;
 	n->settings.revocation_ms = loaded.revocation_ms;
 	n->settings.drain_ms = loaded.drain_ms;
 	n->settings.grace_ms = loaded.grace_ms;
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -57,8 +57,8 @@
 	bool has_unconfirmed;
 	/** A health request that was sent before this time confirms nothing. */
 	uint64_t confirmable_us;
-	/** In TARGET_LEAVING: time at which the target becomes TARGET_CLOSED. */
-	uint64_t leaving_until_us;
+	/** In TARGET_LEAVING: since when. */
+	uint64_t leaving_since_us;
 	struct br_admission *queue;
 	struct conn_pool *pool;
 	LIST_HEAD(, job) running;
@@ -188,8 +188,7 @@
 		t->confirmable_us = clock_now_us();
 	t->status.phase = phase;
 	if (phase == TARGET_LEAVING)
-		t->leaving_until_us = clock_now_us() + t->board->settings->drain_ms * BR_US_PER_MS /
-							       100 * DRAIN_USED_PERCENT;
+		t->leaving_since_us = clock_now_us();
 	if (phase == TARGET_CLOSED)
 		br_admission_drop_all(t->queue);
 	t->changed(t->ctx);
@@ -555,7 +554,9 @@
 /* Closes a leaving target, and with it its queue, if it accepts no more jobs. */
 static void close_if_drained(struct target *t, uint64_t now_us)
 {
-	if (t->status.phase == TARGET_LEAVING && now_us >= t->leaving_until_us)
+	uint64_t used_us = t->board->settings->drain_ms * BR_US_PER_MS / 100 * DRAIN_USED_PERCENT;
+
+	if (t->status.phase == TARGET_LEAVING && now_us - t->leaving_since_us >= used_us)
 		set_phase(t, TARGET_CLOSED, "most of the drain time is over");
 }
 
--- a/tests/unit/mesh_target.c
+++ b/tests/unit/mesh_target.c
@@ -389,3 +389,19 @@
 	http_msg_destroy(second.msg);
 	target_destroy(f.target);
 }
+
+/* Guards against a drain time that is copied when the target begins to leave, and outlives its setting. */
+Test(mesh_target, drain_time_follows_the_settings)
+{
+	struct fixture f = {0};
+
+	start(&f);
+	f.settings.drain_ms = 60000;
+	target_leave(f.target, "t1");
+	target_sweep(f.target);
+	cr_assert_eq(target_status(f.target)->phase, TARGET_LEAVING);
+	f.settings.drain_ms = 0;
+	target_sweep(f.target);
+	cr_assert_eq(target_status(f.target)->phase, TARGET_CLOSED);
+	target_destroy(f.target);
+}
