--- a/mesh/era_mark.c
+++ b/mesh/era_mark.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "mesh/event_log.h"
+#include "mesh/presence.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -29,6 +30,17 @@
 		board->era_mark = BR_ERA_MARK_PRESENT;
 }
 
+void era_mark_all_read(struct board *board)
+{
+	struct br_store_trust trust = era_mark_trust(board, 0);
+	uint64_t until_us = clock_now_us() + PRESENCE_LEASE_MS * BR_US_PER_MS;
+
+	if (br_store_is_settled(&trust) || trust.mark == BR_ERA_MARK_NONE)
+		return;
+	if (until_us > board->other_keeper_until_us)
+		board->other_keeper_until_us = until_us;
+}
+
 struct br_store_trust era_mark_trust(const struct board *board, uint64_t version)
 {
 	return (struct br_store_trust){
--- a/mesh/era_mark.h
+++ b/mesh/era_mark.h
@@ -14,6 +14,12 @@
 /** Takes note of the item as it was read in an era, or of its deletion. */
 void era_mark_read(struct board *board, const struct store_item *item, uint64_t era);
 
+/**
+ * Call when all items have been read: in a store that has come back from a copy lately, the keeper of before may
+ * go on for the rest of its lease, see board.other_keeper_until_us.
+ */
+void era_mark_all_read(struct board *board);
+
 /** Writes the item if this node is the keeper and the era lasts; call about twice a second. */
 void era_mark_check(struct board *board);
 
--- a/mesh/view_watch.c
+++ b/mesh/view_watch.c
@@ -169,6 +169,7 @@
 {
 	w->call_pending = false;
 	set_position(w, &w->range_position);
+	era_mark_all_read(w->board);
 	count_change(w);
 	/* An election may be in progress; once elected, the keeper watches for all nodes. */
 	pause_calls(w, ELECTION_MS);
--- a/tests/unit/mesh_left.c
+++ b/tests/unit/mesh_left.c
@@ -221,3 +221,27 @@
 		cr_assert_eq(board.era_mark, rows[i].mark, "row %zu", i);
 	}
 }
+
+/*
+ * Guards against two keepers that hand out a whole rate: a process that starts after the store's return is
+ * elected while the keeper of before, which is cut off, has not noticed it.
+ */
+Test(mesh_left, keeper_of_before_is_reckoned_with_after_a_copy)
+{
+	struct fixture f;
+
+	set_up(&f, false);
+	store_set_system_ran(f.board.store);
+	f.board.era_mark = BR_ERA_MARK_OTHER;
+	store_hear_era(f.board.store, 7);
+	era_mark_all_read(&f.board);
+	cr_assert_gt(f.board.other_keeper_until_us, clock_now_us());
+	f.board.other_keeper_until_us = 0;
+	f.board.era_mark = BR_ERA_MARK_PRESENT;
+	era_mark_all_read(&f.board);
+	cr_assert_eq(f.board.other_keeper_until_us, 0);
+	f.board.era_mark = BR_ERA_MARK_NONE;
+	era_mark_all_read(&f.board);
+	cr_assert_eq(f.board.other_keeper_until_us, 0);
+	tear_down(&f);
+}
