--- a/tests/soak/fault.c
+++ b/tests/soak/fault.c
@@ -145,7 +145,7 @@
 		sleep_us(FAULT_MIN_US);
 		process_start_node(f->node);
 	} else if (f->kind == FAULT_LEAVE) {
-		target_leave_around_restart(f->node);
+		target_leave_around_restart(f->node, f->variant);
 	} else if (f->kind == FAULT_FREEZE) {
 		process_freeze_keeper(f->until_us - now_us());
 	} else {
@@ -290,6 +290,9 @@
 		f.variant = TARGET_REFUSES_AGAIN - 1;
 	}
 	f.until_us = FAULT_MIN_US + random_below(rng, (uint32_t)(FAULT_MAX_US - FAULT_MIN_US));
+	/* Not drawn, so that seeds keep their faults. */
+	if (f.kind == FAULT_LEAVE)
+		f.variant = (uint32_t)f.until_us % LEAVE_VARIANTS;
 	return f;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -226,11 +226,15 @@
  * planned.
  */
 void target_replace(uint32_t node, bool planned);
+/** Bits of the variant of a leaving: health answers stay good; the node is killed at once. */
+#define LEAVE_FALSE_HEALTH 1
+#define LEAVE_KILL_AT_ONCE 2
+#define LEAVE_VARIANTS 4
 /**
  * A target leaves without draining first, its node is killed and started again, and a report that the
  * target sent before arrives late. Later the target ends and starts as a new incarnation.
  */
-void target_leave_around_restart(uint32_t node);
+void target_leave_around_restart(uint32_t node, uint32_t variant);
 const char *target_service(uint32_t node);
 
 /* caller.c: callers, which send requests and check the answers. */
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -44,6 +44,8 @@
 	uint64_t started_ms, sequence, draining_ack_us;
 	enum target_state state;
 	enum target_fault fault;
+	/** Its health answers say that it is ready, whatever it is. */
+	bool health_is_false;
 	struct br_rng rng;
 };
 
@@ -155,7 +157,7 @@
 	bool ready;
 
 	pthread_mutex_lock(&t->lock);
-	ready = t->state == STATE_READY;
+	ready = t->state == STATE_READY || t->health_is_false;
 	snprintf(fields, sizeof(fields), "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%d\r\n", t->id,
 		 SLOTS);
 	pthread_mutex_unlock(&t->lock);
@@ -363,13 +365,22 @@
 	restart(node);
 }
 
-void target_leave_around_restart(uint32_t node)
+static void set_health_false(struct target *t, bool is_false)
+{
+	pthread_mutex_lock(&t->lock);
+	t->health_is_false = is_false;
+	pthread_mutex_unlock(&t->lock);
+}
+
+void target_leave_around_restart(uint32_t node, uint32_t variant)
 {
 	struct target *t = &targets[node];
 
 	set_state(node, STATE_LEFT);
+	set_health_false(t, variant & LEAVE_FALSE_HEALTH);
 	record_leaving(t, t->incarnation, send_leaving(node));
-	sleep_us(KILL_DELAY_US);
+	if (!(variant & LEAVE_KILL_AT_ONCE))
+		sleep_us(KILL_DELAY_US);
 	stability_record_disturbance(node, now_us());
 	process_signal_node(node, SIGKILL);
 	sleep_us(NODE_RESTART_DELAY_US);
@@ -378,5 +389,6 @@
 	sleep_us(LATE_REPORT_DELAY_US - KILL_DELAY_US - NODE_RESTART_DELAY_US);
 	send_report(node, "ready");
 	sleep_us(END_DELAY_US - LATE_REPORT_DELAY_US);
+	set_health_false(t, false);
 	restart(node);
 }
