--- a/mesh/left_holder.c
+++ b/mesh/left_holder.c
@@ -226,7 +226,9 @@
 	if (!h)
 		return;
 	timer_cancel(&h->timer);
-	while (!LIST_EMPTY(&h->held))
-		free_held(LIST_FIRST(&h->held));
+	for (struct held *next, *e = LIST_FIRST(&h->held); e; e = next) {
+		next = LIST_NEXT(e, link);
+		free_held(e);
+	}
 	free(h);
 }
--- a/tests/unit/mesh_left.c
+++ b/tests/unit/mesh_left.c
@@ -90,6 +90,9 @@
 	tear_down(&f);
 }
 
+#define X8 "nnnnnnnn"
+#define X80 X8 X8 X8 X8 X8 X8 X8 X8 X8 X8
+
 /* Guards against an odd message that ends the process or is held. */
 Test(mesh_left, odd_messages_are_refused)
 {
@@ -104,8 +107,7 @@
 		"{\"node\":\"n1\",\"left\":[]}",
 		"{\"node\":\"n1\",\"address\":\"127.0.0.2\",\"left\":[]}",
 		"{\"node\":\"n1\",\"address\":\"127.0.0.2:80\",\"left\":{}}",
-		"{\"node\":\"nnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnn\","
-		"\"address\":\"127.0.0.2:80\",\"left\":[]}",
+		"{\"node\":\"" X80 "\",\"address\":\"127.0.0.2:80\",\"left\":[]}",
 	};
 	struct fixture f;
 
