--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 # Decoders of bytes from outside under libFuzzer, FUZZ_S seconds each. Needs Debian's clang.
 FUZZ_S ?= 60
-FUZZ_TARGETS ?= keeper_message wire config settings report entry peer_job peer_end fetch record \
+FUZZ_TARGETS ?= keeper_message wire config settings report entry peer_job peer_end fetch left era record \
 	http_request http_answer
 fuzz: packages
 	@cmake -S . -B build-fuzz -G Ninja -DCMAKE_C_COMPILER=clang -DBR_SANITIZE=fuzzer >/dev/null
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -9,8 +9,10 @@
 #include "briarreel/error.h"
 #include "briarreel/record.h"
 #include "common/json.h"
+#include "mesh/era_mark.h"
 #include "mesh/keeper_link.h"
 #include "mesh/keeper_message.h"
+#include "mesh/left_format.h"
 #include "mesh/members.h"
 #include "mesh/peer_format.h"
 #include "node/wire.h"
@@ -80,6 +82,8 @@
 		const struct mesh_route *r = mesh_config_route(c, "h.example", "/a/b");
 
 		(void)mesh_config_account(c, "k");
+		if (r)
+			(void)mesh_route_choose_service(r, 0.5);
 		if (r)
 			(void)mesh_config_rank(c, r, c->n_accounts ? &c->accounts[0] : NULL);
 	}
@@ -153,6 +157,34 @@
 	free(text);
 }
 
+/* What nodes hold for each other, and what the store keeps, of the targets that have left. */
+static void run_left(const char *bytes, size_t len)
+{
+	struct json_object *o = json_parse_object(bytes, len);
+	struct json_object *left = o ? json_member_array(o, "left") : NULL;
+	struct br_left_list list = {0}, known = {0};
+
+	br_left_add(&known, "t1", 5000);
+	if (left)
+		left_read(left, &list);
+	(void)br_left_add_missing(&known, &list);
+	json_object_put(left_write(&known));
+	json_object_put(o);
+}
+
+/* The era that the store's answers name, and the one that its mark names. */
+static void run_era(const char *bytes, size_t len)
+{
+	char *text = copy_input(bytes, len);
+	struct store_item item = {.value = text, .len = len};
+	struct board board = {0};
+	uint64_t era;
+
+	(void)br_store_era_parse(text, &era);
+	era_mark_read(&board, &item, 7);
+	free(text);
+}
+
 static void run_record(const char *bytes, size_t len)
 {
 	static const char *const kinds[] = {"account", "key", "route", "service", "zone", "mesh"};
@@ -195,6 +227,13 @@
 	      "{\"entryKind\":\"limits\",\"specification\":{\"headerBytes\":16384,\"bodyBytes\":"
 	      "1e6,"
 	      "\"headerTimeout\":\"3s\"}}]}"),
+	INPUT("{\"version\":\"1\",\"resources\":[{\"entryKind\":\"services\",\"metadata\":{"
+	      "\"name\":"
+	      "\"s\"},\"specification\":{}},{\"entryKind\":\"routes\",\"metadata\":{\"name\":\"r\"}"
+	      ","
+	      "\"specification\":{\"host\":\"h.example\",\"prefix\":\"/a/\",\"kind\":\"safe\","
+	      "\"weightedServices\":[{\"service\":\"s\",\"weight\":0.9},{\"service\":\"s\","
+	      "\"weight\":1e308}]}}]}"),
 };
 
 /* The count of the first input does not fit into an integer. */
@@ -234,6 +273,16 @@
 	INPUT("config 12"),
 };
 
+static const struct fuzz_input left_seeds[] = {
+	INPUT("{\"node\":\"n\",\"address\":\"10.0.0.1:80\",\"left\":[{\"id\":\"t1\","
+	      "\"started_until_ms\":1700000000000},{\"id\":\"t2\",\"started_until_ms\":4.0}]}"),
+};
+
+static const struct fuzz_input era_seeds[] = {
+	INPUT("7"),
+	INPUT("18446744073709551616"),
+};
+
 static const struct fuzz_input record_seeds[] = {
 	INPUT("{\"schema\":1,\"rate_per_s\":50,\"burst\":20,\"priority\":1}"),
 	INPUT("{\"schema\":1,\"account\":\"a\",\"hash\":\"00\",\"write_id\":\"w\"}"),
@@ -274,6 +323,8 @@
 	TARGET(peer_job, job_seeds),
 	TARGET(peer_end, end_seeds),
 	TARGET(fetch, fetch_seeds),
+	TARGET(left, left_seeds),
+	TARGET(era, era_seeds),
 	TARGET(record, record_seeds),
 	TARGET(http_request, http_request_seeds),
 	TARGET(http_answer, http_answer_seeds),
