--- a/include/briarreel/quota.h
+++ b/include/briarreel/quota.h
@@ -99,6 +99,8 @@
 	double rate_per_s, burst;
 	/** Tokens beyond the burst that the operator tolerates now and then. */
 	double tolerated;
+	/** Tokens that all nodes together may spend of their parts before the allocator reserves them. */
+	double overlap;
 };
 
 struct br_quota_client;
@@ -144,9 +146,11 @@
 /**
  * Takes a token from this node's equal part of the rate (1/n_nodes; 0 nodes are treated as 1), for
  * use while the allocator does not answer. The part begins with the allocator's last answer; all
- * nodes together gain the rate and hold at most the burst. If the allocator granted the account's
- * tokens lately and refused none, some nodes admit one request more, as many as the burst and the
- * tolerated excess allow. Returns false if there is no token or if out of memory.
+ * nodes together gain the rate and hold at most the burst. Of what it gains before the allocator
+ * reserves it, BR_QUOTA_NODE_TIMEOUT_US later, nodes together spend no more than limit.overlap, since
+ * the allocator may have granted it too. If the allocator granted the account's tokens lately and
+ * refused none, some nodes admit one request more, as many as the burst and the tolerated excess allow.
+ * Returns false if there is no token or if out of memory.
  */
 bool br_quota_client_take_fallback(struct br_quota_client *c, uint64_t account,
 				   const struct br_quota_limit *limit, uint32_t n_nodes,
--- a/lib/quota.c
+++ b/lib/quota.c
@@ -38,6 +38,9 @@
 	uint64_t part_after_us;
 	/** Client only: this node may admit one request beyond its part. */
 	bool spare;
+	/** Client only: the allocator does not reserve the part yet; tokens that may be spent of it meanwhile. */
+	bool overlaps;
+	uint32_t overlap;
 	/** Client only. */
 	struct br_quota_debt debt;
 	/** Debts of a process at the allocator: the part that was charged. */
@@ -348,9 +351,20 @@
 	return (double)br_rng_below(&c->rng, n_nodes) < n_spare;
 }
 
+/* A node's part of the tokens that may be spent twice; fractions of a token go to some of the nodes. */
+static uint32_t overlap_part(struct br_quota_client *c, const struct br_quota_limit *limit,
+			     uint32_t n_nodes)
+{
+	double part = limit->overlap / n_nodes, whole = floor(part);
+
+	if (part >= UINT32_MAX)
+		return UINT32_MAX;
+	return (uint32_t)whole + (br_rng_unit(&c->rng) < part - whole);
+}
+
 /*
- * Begins a node's equal part when the allocator's last answer is over. Until then the allocator
- * granted it. Nodes begin with different fractions of a token, so that all of them together get
+ * Begins a node's equal part when the allocator reserves it, some time after its last answer. Until then
+ * the allocator grants it. Nodes begin with different fractions of a token, so that all of them together get
  * the rate from the start although a single one may need many seconds for a token.
  */
 static void start_part(struct br_quota_client *c, struct row *r, const struct br_quota_limit *limit,
@@ -359,6 +373,8 @@
 	r->spare = may_spare(c, r, limit, n_nodes, now_us);
 	r->tokens = (double)br_rng_below(&c->rng, FRACTIONS) / FRACTIONS;
 	r->updated_us = c->answered_us ? c->answered_us : now_us;
+	r->overlap = overlap_part(c, limit, n_nodes);
+	r->overlaps = c->answered_us != 0;
 	r->part_started = true;
 	r->part_after_us = c->answered_us;
 }
@@ -380,6 +396,19 @@
 		r->tokens -= floor(kept);
 }
 
+/* From when the allocator reserves the part, what it has gained before is the allocator's to grant. */
+static void end_overlap(const struct br_quota_client *c, struct row *r, double part_per_s,
+			double hold_s, uint64_t now_us)
+{
+	uint64_t end_us = c->answered_us + BR_QUOTA_NODE_TIMEOUT_US;
+
+	if (!r->overlaps || now_us < end_us)
+		return;
+	refill_part(r, part_per_s, hold_s, end_us);
+	r->tokens -= floor(r->tokens);
+	r->overlaps = false;
+}
+
 bool br_quota_client_take_fallback(struct br_quota_client *c, uint64_t account,
 				   const struct br_quota_limit *limit, uint32_t n_nodes,
 				   uint64_t now_us)
@@ -393,16 +422,17 @@
 		n_nodes = 1;
 	if (!r->part_started || r->part_after_us != c->answered_us)
 		start_part(c, r, limit, n_nodes, now_us);
+	end_overlap(c, r, rate_per_s / n_nodes, burst / rate_per_s, now_us);
 	refill_part(r, rate_per_s / n_nodes, burst / rate_per_s, now_us);
-	if (r->tokens >= 1) {
+	if (r->tokens >= 1 && (!r->overlaps || r->overlap)) {
 		r->tokens -= 1;
+		r->overlap -= r->overlaps;
 	} else if (r->spare) {
 		r->spare = false;
 	} else {
 		return false;
 	}
-	/* Later the allocator reserves the part. */
-	if (c->answered_us && now_us - c->answered_us < BR_QUOTA_NODE_TIMEOUT_US)
+	if (r->overlaps)
 		r->debt.spent++;
 	return true;
 }
--- a/mesh/main.c
+++ b/mesh/main.c
@@ -169,6 +169,7 @@
 	n->settings.budget_slack = loaded.budget_slack;
 	n->settings.quota_overage_ratio = loaded.quota_overage_ratio;
 	n->settings.quota_slack = loaded.quota_slack;
+	n->settings.quota_window_ms = loaded.quota_window_ms;
 	board_count(&n->board, COUNT_RELOADS);
 	EVENT(EVENT_INFO, "node", "reloaded", EVENT_TEXT("why", reason),
 	      EVENT_TEXT("file", n->settings_path));
--- a/mesh/model.h
+++ b/mesh/model.h
@@ -46,6 +46,8 @@
 	/** Tolerated excess over an account's limit: a fraction of it, and a number per window. */
 	double quota_overage_ratio;
 	uint32_t quota_slack;
+	/** Window over which the excess is judged. */
+	uint64_t quota_window_ms;
 	/** Memory that the process may use, in megabytes. */
 	uint32_t memory_mb;
 };
--- a/mesh/quota.c
+++ b/mesh/quota.c
@@ -31,6 +31,8 @@
  * after the grant.
  */
 #define EXCESS_GRANTED_PART 0.5
+/* Fraction of it that nodes may spend of their parts before the keeper reserves them. */
+#define OVERLAP_PART 0.25
 /* The keeper timer is late by this much only if the process was paused. */
 #define PAUSE_US (BR_QUOTA_REQUEST_INTERVAL_US * 3)
 /* Minimum time for which a request waits for an answer of the keeper. */
@@ -572,6 +574,16 @@
 		       br_quota_client_tokens_to_request(q->client, a->name_hash, now_us), now_us);
 }
 
+/* What nodes may spend twice of an account's tokens, in any window of the operator's. */
+static double overlap_tokens(const struct mesh_settings *set, const struct mesh_account *a)
+{
+	double window_s = (double)set->quota_window_ms / 1000;
+
+	return (set->quota_overage_ratio * (a->rate_per_s * window_s + a->burst) +
+		set->quota_slack) *
+	       OVERLAP_PART;
+}
+
 enum quota_result quota_take(struct quota *q, const struct mesh_account *a, struct quota_wait *w)
 {
 	const struct mesh_settings *set = q->board->settings;
@@ -589,6 +601,7 @@
 		.burst = a->burst,
 		.tolerated =
 			set->quota_overage_ratio * (a->rate_per_s + a->burst) + set->quota_slack,
+		.overlap = overlap_tokens(set, a),
 	};
 	if (keeper_unavailable(q, now_us) && take_fallback(q, w, now_us))
 		return QUOTA_GRANTED;
--- a/tests/random/quota_nodes.c
+++ b/tests/random/quota_nodes.c
@@ -30,6 +30,8 @@
 /* Excess over rate and burst that the operator tolerates in a window. */
 #define OVERAGE 1.1
 #define SLACK 20.0
+/* Part of it that nodes may spend before the keeper reserves their parts. */
+#define OVERLAP_PART 0.25
 #define SEEDS 4
 #define ZONES 4
 /* A zone that flaps is cut off for the first part of each period, a keeper that flaps is frozen. */
@@ -227,9 +229,11 @@
 {
 	struct node *n = &w.nodes[wait->node];
 	const struct account *a = account_of(wait);
-	const struct br_quota_limit limit = {.rate_per_s = a->rate_per_s,
-					     .burst = a->rate_per_s,
-					     .tolerated = 0.2 * a->rate_per_s + SLACK};
+	const struct br_quota_limit limit = {
+		.rate_per_s = a->rate_per_s,
+		.burst = a->rate_per_s,
+		.tolerated = 0.2 * a->rate_per_s + SLACK,
+		.overlap = OVERLAP_PART * ((OVERAGE - 1) * 6 * a->rate_per_s + SLACK)};
 	uint64_t waited_us = w.now_us - wait->started_us;
 
 	if (wait->answer_us && w.now_us >= wait->answer_us) {
--- a/tests/unit/quota.c
+++ b/tests/unit/quota.c
@@ -239,7 +239,7 @@
 /* Guards against a debt for what the allocator has reserved since it lost the node. */
 Test(quota, only_the_beginning_of_a_cut_is_a_debt)
 {
-	static const struct br_quota_limit limit = {.rate_per_s = 10, .burst = 100};
+	static const struct br_quota_limit limit = {.rate_per_s = 10, .burst = 100, .overlap = 10};
 	struct br_quota_client *c = br_quota_client_create(1);
 	uint64_t account = 0;
 	size_t pos = 0;
@@ -261,3 +261,37 @@
 	cr_assert_not(br_quota_client_next_debt(c, &pos, &account));
 	br_quota_client_destroy(c);
 }
+
+/*
+ * Guards against parts that are spent twice in the second in which the allocator grants them still, by all
+ * nodes of a zone that is cut off under an account that is far over its rate (review/14).
+ */
+Test(quota, parts_are_hardly_spent_before_they_are_reserved)
+{
+	static const struct br_quota_limit limit = {
+		.rate_per_s = 140, .burst = 140, .tolerated = 48, .overlap = 28};
+	const uint32_t n_nodes = 14;
+	uint32_t early = 0, later = 0;
+
+	for (uint32_t i = 0; i < n_nodes; i++) {
+		struct br_quota_client *c = br_quota_client_create(i + 1);
+
+		br_quota_client_add_grant(c, 7, 0, 10 * SECOND);
+		br_quota_client_answered(c, 10 * SECOND);
+		for (uint64_t now = 10 * SECOND; now < 13 * SECOND; now += 5 * BR_US_PER_MS) {
+			bool taken = br_quota_client_take_fallback(c, 7, &limit, n_nodes, now);
+
+			if (now < 10 * SECOND + BR_QUOTA_NODE_TIMEOUT_US)
+				early += taken;
+			else
+				later += taken;
+		}
+		br_quota_client_destroy(c);
+	}
+	/* 140 tokens were in this second before. */
+	cr_assert_leq(early, 28, "%u", early);
+	cr_assert_geq(early, 14);
+	/* What is gained in it is not spent later either. */
+	cr_assert_leq(later, 2 * 140 + n_nodes);
+	cr_assert_geq(later, 2 * 140 - n_nodes);
+}
